--- /dev/null
+++ b/cressrail/brain.py
@@ -0,0 +1,496 @@
+"""Every decision cressrail makes for one sidecar. It knows no wire, no clock and no other sidecar.
+
+How to call it (docs/interface.md has the whole): build a `Sidecar` from its parts; feed it the list with
+`hear_list`; `take` gives a `Tx` handle, and `route`, `under_way`, `ended` and `vanished` on that handle say
+what befalls it. Each call returns the decisions taken, as tuples (tx, what, endpoint or hop, microseconds);
+`wake` is due at `wake_us`. Times are whole microseconds; endpoints, zones and members are small indices.
+
+The design: retries only of claimed errors inside a budget, zone groups with the own zone first, two random
+choices by own hops in flight. Mechanisms beside it (six at most):
+  1. in-flight limit of each endpoint        Endpoint.limit: grows by one, is cut by a share
+  2. waiting line with early rollback        Sidecar.line
+  3. members' shares                         Shares
+  4. setting aside of unreachable endpoints  Endpoint.aside_us
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+HOP, CALL_OFF, ROLLED_BACK, ABANDONED = "hop", "call off", "rolled back", "abandoned"
+IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT = "idempotent", "journalled", "non-idempotent"
+ALL, ZONE, CELL = "all", "zone", "cell"
+
+BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
+BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
+LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop finds its endpoint crowded
+CUT_SHARE = 0.75  # what is left of a limit that is cut
+FIRST_LIMIT = 8.0  # of hops in flight at an endpoint: far above need in calm, cut or grown from there
+SURPLUS_PART = 0.5  # of an endpoint's limit is open to traffic beyond a member's share
+LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
+SPILL_STEP = 1 / 16  # by which the spilled share moves a second
+SPILL_ABOVE, SPILL_BELOW = 1.5, 1.2  # local latency over the next group's: spill more above, less below
+MEMORY = 8  # outcomes that an endpoint's averages look back on
+Decision = tuple["Tx", str, int, int]
+Entry = tuple[int, int, int, float, bool, int]  # endpoint, zone, cell, scale, on, started
+
+
+class Outcome(Enum):
+    COMMITTED = "committed"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"
+    DROPPED = "dropped"
+    CALLED_OFF = "called off"
+    NEVER_SENT = "never sent"
+
+
+NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.NEVER_SENT)
+OWNED = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.DROPPED)
+SILENT = (Outcome.CALLED_OFF, Outcome.NEVER_SENT)  # say nothing about the endpoint
+
+
+class Chance:
+    """A linear congruential generator; only its high half is used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & (1 << 64) - 1
+        self.below(1)
+
+    def below(self, n: int) -> int:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.state >> 32) * n >> 32
+
+    def part(self) -> float:
+        return self.below(1 << 32) / (1 << 32)
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    kind: str
+    group: str
+    window_us: int
+    service_goal_us: int
+    hard_limit_us: int
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """All that this sidecar knows of one endpoint."""
+
+    ix: int
+    zone: int = 0
+    cell: int = 0
+    scale: float = 1.0
+    on: bool = False
+    started_us: int = 0
+    in_flight: int = 0
+    limit: float = FIRST_LIMIT
+    cut_us: int = 0
+    latency: float = 0.0  # of committed hops, in service goals
+    good: float = 1.0  # share of hops that the endpoint did not fail
+    heard_us: int = -1
+    aside_us: int = 0  # gets no ordinary hop before then
+    aside_runs: int = 0
+    cold_credit: float = 0.0
+    cold_us: int = 0
+
+    def succeeds(self, now: int) -> bool:
+        return self.good >= 0.5 or now - self.heard_us > BUDGET_WINDOW_US
+
+    def room(self) -> bool:
+        return self.in_flight < self.limit
+
+
+class RetryBudget:
+    """Holds in every window that ends now: retries in it, this one included, over transactions in it."""
+
+    def __init__(self, window_us: int = BUDGET_WINDOW_US) -> None:
+        self.window_us = window_us
+        self.taken: deque[int] = deque()
+        self.retried: deque[int] = deque()
+
+    def take(self, now: int) -> None:
+        self.taken.append(now)
+        self._trim(now)
+
+    def spend(self, now: int) -> bool:
+        self._trim(now)
+        if (len(self.retried) + 1) * BUDGET_PARTS > len(self.taken):
+            return False
+        self.retried.append(now)
+        return True
+
+    def _trim(self, now: int) -> None:
+        for times in (self.taken, self.retried):
+            while times and times[0] <= now - self.window_us:
+                times.popleft()
+
+
+class RepeatRule:
+    """The one place that says whether a transaction may take a further hop, or be rolled back."""
+
+    def __init__(self, most_hops: int, parallel: bool) -> None:
+        self.most_hops = most_hops
+        self.parallel = parallel
+
+    def may_hop(self, tx: Tx, now: int) -> bool:
+        if len(tx.hops) >= self.most_hops or (tx.out and not self.parallel):
+            return False
+        if tx.anchor is None or tx.profile.kind == IDEMPOTENT:
+            return True
+        return tx.profile.kind == JOURNALLED and now < tx.anchor_us + tx.profile.window_us
+
+    def may_go_to(self, tx: Tx, e: Endpoint) -> bool:
+        at = tx.anchor
+        if at is None or tx.profile.kind == IDEMPOTENT or tx.profile.group == ALL:
+            return True
+        return e.zone == at.zone if tx.profile.group == ZONE else e.cell == at.cell
+
+    def may_roll_back(self, tx: Tx) -> bool:
+        if tx.anchor is None or tx.profile.kind == IDEMPOTENT:
+            return True
+        return tx.profile.kind == JOURNALLED and tx.profile.group == ALL
+
+
+class ColdRule:
+    """This copy's part of the work that a starting endpoint may get: what a warm one of its group gets from
+    here, times the share of capacity it has surely regained. Credit never runs ahead by more than one hop."""
+
+    def __init__(self, cold_from: float, warm_within_us: int) -> None:
+        self.cold_from = cold_from
+        self.warm_within_us = warm_within_us
+        self.carried = 0.0  # hops committed, decaying over warm_within_us
+        self.carried_us = 0
+
+    def carry(self, now: int) -> None:
+        self.carried = self.carried * max(0.0, 1 - (now - self.carried_us) / self.warm_within_us) + 1
+        self.carried_us = now
+
+    def cold(self, e: Endpoint, now: int) -> bool:
+        return e.started_us > 0 and now < e.started_us + self.warm_within_us
+
+    def credit(self, e: Endpoint, now: int, part: float) -> bool:
+        age = max(0, now - e.started_us) / self.warm_within_us
+        share = self.cold_from + (1 - self.cold_from) * age
+        rate = max(1.0, self.carried) / self.warm_within_us * part * share
+        e.cold_credit = min(1.0, e.cold_credit + rate * (now - e.cold_us))
+        e.cold_us = now
+        return e.cold_credit >= 1.0
+
+
+class Shares:
+    """Marks what a member sends beyond this copy's part of its allowance."""
+
+    def __init__(self, allowances_per_s: list[float], copies: int) -> None:
+        self.rates = [a / copies / 1e6 for a in allowances_per_s]
+        self.credit = [r * 1e6 for r in self.rates]  # a second's worth at most
+        self.filled_us = [0] * len(self.rates)
+
+    def surplus(self, member: int, now: int) -> bool:
+        if not 0 <= member < len(self.rates):
+            return False
+        rate = self.rates[member]
+        have = min(max(1.0, rate * 1e6), self.credit[member] + rate * (now - self.filled_us[member]))
+        self.filled_us[member] = now
+        self.credit[member] = have - 1 if have >= 1 else have
+        return have < 1
+
+
+class Asking:
+    """When to ask for the list, where it does not come by itself."""
+
+    def __init__(self, asked: bool, ask_every_us: int, chance: Chance) -> None:
+        self.every_us = ask_every_us
+        self.chance = chance
+        self.fails = 0
+        self.due_us = chance.below(ask_every_us // 8 + 1) if asked else -1  # from birth; -1: nothing to ask
+
+    def born(self, now: int) -> None:
+        if self.due_us >= 0:
+            self.due_us += now
+
+    def heard(self, now: int, failed: bool) -> None:
+        if self.due_us < 0:
+            return
+        if failed:  # spread and doubling, but well inside the time after which the old list counts as told
+            self.fails = min(self.fails + 1, 4)
+            wait = self.every_us * 2**self.fails // 64
+            self.due_us = now + wait // 2 + self.chance.below(wait + 1)
+        else:
+            self.fails = 0
+            self.due_us = now + self.every_us * 4
+
+    def due(self, now: int) -> bool:
+        if self.due_us < 0 or now < self.due_us:
+            return False
+        self.due_us = now + self.every_us // 2
+        return True
+
+
+class Tx:
+    """The handle of one transaction."""
+
+    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "out", "profile", "side",
+                 "surplus")
+
+    def __init__(self, side: Sidecar, profile: Profile, now: int, remaining_us: int, surplus: bool) -> None:
+        self.side = side
+        self.profile = profile
+        self.end_us = now + remaining_us - min(remaining_us // 64, side.round_us * 2)
+        self.leave_us = min(self.end_us, now + profile.service_goal_us // LINE_PARTS)  # the line, by then
+        self.surplus = surplus
+        self.hops: list[Endpoint] = []
+        self.out: dict[int, int] = {}  # hop number -> sent
+        self.anchor: Endpoint | None = None  # of the first hop that may have run
+        self.anchor_us: int = 0
+        self.closed = False
+
+    def route(self, now: int) -> list[Decision]:
+        return self.side.route(self, now)
+
+    def under_way(self, hop: int) -> list[Decision]:
+        """A stream has begun: it is the client's, and no limit runs any more."""
+        return self._call_off_others(hop)
+
+    def ended(self, hop: int, now: int, how: Outcome, latency_us: int, complete: bool) -> list[Decision]:
+        return self.side.ended(self, hop, now, how, latency_us, complete)
+
+    def vanished(self) -> list[Decision]:
+        self.closed = True
+        return self._call_off_others(-1)
+
+    def _call_off_others(self, hop: int) -> list[Decision]:
+        return [(self, CALL_OFF, n, 0) for n in self.out if n != hop] if self.side.may_cancel else []
+
+
+class Sidecar:
+    def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
+                 round_us: int, connect_timeout_us: int, come_back_us: int, may_cancel: bool, asking: Asking,
+                 repeat_rule: RepeatRule, cold_rule: ColdRule, shares: Shares, now: int) -> None:
+        self.chance = chance
+        self.order = [(zone + k) % zones for k in range(zones)]
+        self.groups: list[list[Endpoint]] = [[] for _ in range(zones)]
+        self.endpoints: dict[int, Endpoint] = {}
+        self.late = LATE_SHARE * tiers_to_go
+        self.last_tier = last_tier
+        self.round_us = round_us
+        self.connect_timeout_us = connect_timeout_us
+        self.come_back_us = come_back_us
+        self.may_cancel = may_cancel
+        self.asking = asking
+        self.repeat_rule = repeat_rule
+        self.cold_rule = cold_rule
+        self.shares = shares
+        self.budget = RetryBudget()
+        self.line: deque[Tx] = deque()
+        self.spill = 0.0
+        self.spill_us = now
+        self.usual = 0.0  # the lowest latency of late, in service goals
+        asking.born(now)
+        self.wake_us = now
+
+    # What is told
+
+    def hear_list(self, now: int, entries: Iterable[Entry], full: bool) -> None:
+        self.asking.heard(now, False)
+        named = []
+        for ix, zone, cell, scale, on, started_us in entries:
+            e = self.endpoints.get(ix)
+            if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
+                flying = e.in_flight if e else 0
+                e = self.endpoints[ix] = e or Endpoint(ix)
+                e.started_us, e.limit, e.latency, e.good, e.aside_us = started_us, FIRST_LIMIT, 0.0, 1.0, 0
+                # Guards against all copies spending a first hop at once on a start they all hear of.
+                e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
+            e.zone, e.cell, e.scale, e.on = zone, cell, max(scale, 1e-9), on
+            if zone not in self.order:
+                self.order.append(zone)
+            named.append(ix)
+        if full:
+            kept = dict.fromkeys(named)
+            for e in self.endpoints.values():
+                e.on = e.on and e.ix in kept
+        self.groups = [[] for _ in self.order]
+        for e in self.endpoints.values():
+            if e.on:
+                self.groups[e.zone].append(e)
+
+    def list_failed(self, now: int) -> None:
+        self.asking.heard(now, True)
+
+    def take(self, now: int, profile: Profile, member: int, remaining_us: int) -> Tx:
+        self.budget.take(now)
+        return Tx(self, profile, now, remaining_us, self.shares.surplus(member, now))
+
+    def wake(self, now: int) -> list[Decision]:
+        if now - self.spill_us >= 1_000_000:
+            self.spill_us = now
+            self._adjust_spill()
+        decided = self._serve_line(now)
+        self.wake_us = self.spill_us + 1_000_000
+        if self.line:
+            self.wake_us = min(self.wake_us, now + 4 * self.round_us, min(tx.leave_us for tx in self.line))
+        return decided
+
+    # What is decided
+
+    def route(self, tx: Tx, now: int) -> list[Decision]:
+        if tx.end_us <= now:
+            return self._give_up(tx)
+        e = None if self.line and not tx.surplus else self._pick(tx, now)
+        if e is not None:
+            return [self._hop(tx, e, now)]
+        if tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
+            return self._give_up(tx)
+        self.line.append(tx)
+        self.wake_us = min(self.wake_us, now + 4 * self.round_us, tx.leave_us)
+        return []
+
+    def ended(self, tx: Tx, hop: int, now: int, how: Outcome, latency_us: int,
+              complete: bool) -> list[Decision]:
+        e = tx.hops[hop]
+        if tx.out.pop(hop, None) is None:
+            return []
+        e.in_flight -= 1
+        self._judge(e, tx, now, how, latency_us)
+        decided: list[Decision] = []
+        if how not in NEVER_RAN and how is not Outcome.COMMITTED and tx.anchor is None:
+            tx.anchor, tx.anchor_us = e, now - latency_us
+        if complete or tx.closed:
+            if not tx.closed:
+                tx.closed = True
+                decided += tx._call_off_others(hop)
+        elif not tx.out:
+            decided += self._after(tx, e, now, how)
+        return decided + self._serve_line(now)
+
+    def _after(self, tx: Tx, e: Endpoint, now: int, how: Outcome) -> list[Decision]:
+        """The last hop out has failed: a claimed error is retried elsewhere, all else is answered at once."""
+        if self._claimed(e, now, how) and now < tx.end_us and self.repeat_rule.may_hop(tx, now):
+            again = self._pick(tx, now)
+            if again is not None and self.budget.spend(now):
+                return [self._hop(tx, again, now)]
+        return self._give_up(tx)
+
+    def _claimed(self, e: Endpoint, now: int, how: Outcome) -> bool:
+        if how in OWNED:
+            return True
+        if how in SILENT:
+            return False
+        return self.last_tier or all(o.succeeds(now) for o in self.endpoints.values() if o.on and o is not e)
+
+    def _give_up(self, tx: Tx) -> list[Decision]:
+        tx.closed = True
+        if self.repeat_rule.may_roll_back(tx):
+            return [(tx, ROLLED_BACK, 0, min(self.come_back_us, tx.profile.service_goal_us // LINE_PARTS))]
+        return [(tx, ABANDONED, 0, 0)]
+
+    def _hop(self, tx: Tx, e: Endpoint, now: int) -> Decision:
+        if self.cold_rule.cold(e, now):
+            e.cold_credit -= 1
+        e.in_flight += 1
+        tx.out[len(tx.hops)] = now
+        tx.hops.append(e)
+        return (tx, HOP, e.ix, tx.end_us - now)
+
+    def _pick(self, tx: Tx, now: int) -> Endpoint | None:
+        order = self.order
+        if self.spill and self.chance.part() < self.spill:
+            k = 1 + self.chance.below(len(order) - 1)
+            order = [order[k], *order[:k], *order[k + 1:]]
+        failing = []
+        for zone in order:
+            group = self.groups[zone]
+            if 2 * sum(e.succeeds(now) for e in group) < len(group):
+                failing.append(zone)
+                continue
+            e = self._pick_in(group, tx, now, False)
+            if e is not None:
+                return e
+        for zone in failing:
+            e = self._pick_in(self.groups[zone], tx, now, True)
+            if e is not None:
+                return e
+        return None
+
+    def _pick_in(self, group: list[Endpoint], tx: Tx, now: int, aside_too: bool) -> Endpoint | None:
+        rule, cold = self.repeat_rule, self.cold_rule
+        part = SURPLUS_PART if tx.surplus else 1.0
+        size = sum(e.scale for e in group)
+        ready = [e for e in group
+                 if e.in_flight < e.limit * part and (aside_too or e.aside_us <= now) and e not in tx.hops
+                 and (tx.anchor is None or rule.may_go_to(tx, e))
+                 and (not cold.cold(e, now) or cold.credit(e, now, e.scale / size))]
+        if len(ready) < 2:
+            return ready[0] if ready else None
+        k = self.chance.below(len(ready))
+        a = ready[k]
+        b = ready[(k + 1 + self.chance.below(len(ready) - 1)) % len(ready)]
+        if a.in_flight * b.scale == b.in_flight * a.scale:
+            return a if a.latency <= b.latency else b
+        return a if a.in_flight * b.scale < b.in_flight * a.scale else b
+
+    # What is learned
+
+    def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int) -> None:
+        if how in SILENT:
+            return
+        e.heard_us = now
+        took = latency_us / tx.profile.service_goal_us
+        crowded = took > self.late
+        if how is Outcome.COMMITTED:
+            self.cold_rule.carry(now)
+            e.latency += (took - e.latency) / MEMORY if e.latency else took
+            e.aside_us = e.aside_runs = 0
+        else:
+            crowded = crowded or how is Outcome.TURNED_AWAY
+        if how in (Outcome.UNREACHED, Outcome.DROPPED):
+            e.aside_runs = min(e.aside_runs + 1, 5)
+            e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
+        failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
+        e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
+        if crowded:
+            if now - latency_us >= e.cut_us:  # once for all hops that were out together
+                e.cut_us = now
+                e.limit = max(1.0, e.limit * CUT_SHARE)
+        elif how is Outcome.COMMITTED and 2 * (e.in_flight + 1) >= e.limit:
+            e.limit += 1 / e.limit
+
+    def _adjust_spill(self) -> None:
+        def mean(group: list[Endpoint]) -> float:
+            heard = [e.latency for e in group if e.latency]
+            return sum(heard) / len(heard) if heard else 0.0
+
+        own = mean(self.groups[self.order[0]])
+        others = [self.groups[z] for z in self.order[1:] if self.groups[z]]
+        if not own or not others:
+            self.spill = 0.0 if not others else self.spill
+            return
+        self.usual = min(own, self.usual + self.usual / 64) if self.usual else own
+        best = min(mean(g) or self.usual for g in others)
+        if own > best * SPILL_ABOVE:
+            self.spill = min(0.75, self.spill + SPILL_STEP)
+        elif own < best * SPILL_BELOW:
+            self.spill = max(0.0, self.spill - SPILL_STEP)
+
+    def _wait_ahead(self, tx: Tx) -> float:
+        rule = self.cold_rule
+        return len(self.line) * rule.warm_within_us / max(1.0, rule.carried)
+
+    def _serve_line(self, now: int) -> list[Decision]:
+        # Guards against one at the head hiding others whose time is up: a client's last try may be short.
+        late = [tx for tx in self.line if tx.closed or tx.leave_us <= now]
+        if late:
+            self.line = deque(tx for tx in self.line if not tx.closed and tx.leave_us > now)
+        decided = [d for tx in late if not tx.closed for d in self._give_up(tx)]
+        while self.line:
+            e = self._pick(self.line[0], now)
+            if e is None:
+                break
+            decided.append(self._hop(self.line.popleft(), e, now))
+        return decided
--- /dev/null
+++ b/cressrail/wirehost/outfit.py
@@ -0,0 +1,112 @@
+"""What an instance is told at its start, read into the parts of the module."""
+
+from __future__ import annotations
+
+from cressrail.brain import (
+    ALL,
+    CELL,
+    IDEMPOTENT,
+    JOURNALLED,
+    NON_IDEMPOTENT,
+    ZONE,
+    Asking,
+    Chance,
+    ColdRule,
+    Profile,
+    RepeatRule,
+    Shares,
+    Sidecar,
+)
+
+KINDS = {"safe": IDEMPOTENT, "keyed": JOURNALLED, "unsafe": NON_IDEMPOTENT}
+GROUPS = {"all": ALL, "zone": ZONE, "cell": CELL}
+
+
+class Unfit(Exception):
+    """A required setting that is missing or impossible; the text starts with its path."""
+
+
+class Told:
+    """The pairs as they came, read by path."""
+
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
+
+    def word(self, path: str) -> str:
+        if path not in self.pairs:
+            raise Unfit(f"{path} is missing")
+        return self.pairs[path]
+
+    def one_of(self, path: str, words: dict[str, str]) -> str:
+        word = self.word(path)
+        if word not in words:
+            raise Unfit(f"{path} is none of {', '.join(words)}: {word[:40]}")
+        return words[word]
+
+    def whole(self, path: str, least: int, absent: int | None = None) -> int:
+        if absent is not None and path not in self.pairs:
+            return absent
+        try:
+            value = int(self.word(path))
+        except ValueError:
+            raise Unfit(f"{path} is not a whole number: {self.pairs[path][:40]}") from None
+        if value < least:
+            raise Unfit(f"{path} is below {least}: {value}")
+        return value
+
+    def real(self, path: str, least: float, most: float) -> float:
+        try:
+            value = float(self.word(path))
+        except ValueError:
+            raise Unfit(f"{path} is not a number: {self.pairs[path][:40]}") from None
+        if not least <= value <= most:
+            raise Unfit(f"{path} is not within {least} and {most}: {value}")
+        return value
+
+    def yes(self, path: str) -> bool:
+        return self.one_of(path, {"true": "1", "1": "1", "false": "", "0": ""}) == "1"
+
+    def names(self, path: str) -> list[str]:
+        return [name for name in self.word(path).split(",") if name]
+
+
+def profiles(told: Told) -> dict[str, Profile]:
+    found = {}
+    for n in range(told.whole("profiles.count", 1)):
+        at = f"profiles.{n}."
+        kind = told.one_of(at + "repeat", KINDS)
+        group, window_us = ALL, 0
+        if kind == JOURNALLED:
+            group = told.one_of(at + "key_scope", GROUPS)
+            window_us = told.whole(at + "window_us", 0)
+        found[told.word(at + "name")] = Profile(
+            kind, group, window_us,
+            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1))
+    return found
+
+
+def members(told: Told) -> dict[str, float]:
+    return {told.word(f"tenants.{n}.name"): told.real(f"tenants.{n}.allowance_per_s", 0, 1e12)
+            for n in range(told.whole("tenants.count", 0, absent=0))}
+
+
+def sidecar(told: Told, seed: int, now: int, zones: list[str], allowances: list[float]) -> Sidecar:
+    if told.word("zone") not in zones:
+        raise Unfit(f"zone is not one of dcs: {told.word('zone')[:40]}")
+    tiers, stage = told.names("tiers"), told.whole("stage", 0)
+    if stage >= len(tiers):
+        raise Unfit(f"stage is not below the number of tiers: {stage}")
+    subscribes = told.one_of("membership_mode", {"automatic": "", "subscribe": "1"}) == "1"
+    chance = Chance(seed)
+    copies = told.whole("n_instances", 1)
+    return Sidecar(
+        chance=chance, zone=zones.index(told.word("zone")), zones=len(zones),
+        tiers_to_go=(len(tiers) - stage) / len(tiers), last_tier=stage == len(tiers) - 1,
+        round_us=told.whole("round_us", 1),
+        connect_timeout_us=told.whole("limits.connect_timeout_us", 1),
+        come_back_us=told.whole("limits.max_retry_after_us", 0) if told.yes("limits.retry_after") else 0,
+        may_cancel=told.yes("limits.may_cancel"),
+        asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
+        repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
+        cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1)),
+        shares=Shares(allowances, copies), now=now)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,103 @@
+"""The ordinary path: ownership, budget, zone groups, two choices; and what stands beside it."""
+
+from __future__ import annotations
+
+import pytest
+
+from cressrail.brain import Asking, Chance, Outcome, RetryBudget, Shares
+from tests.helpers import SECOND, entry, profile, sidecar, warm_up
+
+
+@pytest.mark.parametrize("how, last, others_fail, claimed", [
+    (Outcome.TURNED_AWAY, False, True, True), (Outcome.UNREACHED, False, True, True),
+    (Outcome.DROPPED, False, True, True), (Outcome.CALLED_OFF, True, False, False),
+    (Outcome.NEVER_SENT, True, False, False), (Outcome.ERROR, True, True, True),
+    (Outcome.TIMED_OUT, True, True, True), (Outcome.ERROR, False, False, True),
+    (Outcome.TIMED_OUT, False, False, True), (Outcome.ERROR, False, True, False),
+    (Outcome.TIMED_OUT, False, True, False)])
+def test_only_claimed_errors_are_retried(how: Outcome, last: bool, others_fail: bool, claimed: bool) -> None:
+    side = sidecar([entry(n) for n in range(4)], last_tier=last)
+    warm_up(side)
+    for e in side.endpoints.values():
+        e.good, e.heard_us = (0.0 if others_fail else 1.0), 0
+    tx = side.take(0, profile(), -1, SECOND)
+    tx.route(0)
+    retried = [what for _, what, *_ in tx.ended(0, 0, how, 1000, False)] == ["hop"]
+    assert retried is claimed
+
+
+@pytest.mark.parametrize("taken, retries", [(0, 0), (9, 0), (10, 1), (19, 1), (20, 2), (1000, 100)])
+@pytest.mark.parametrize("age_us, kept", [(0, True), (10 * SECOND - 1, True), (10 * SECOND, False)])
+def test_the_budget_is_a_tenth_of_the_window_rounded_down(
+        taken: int, retries: int, age_us: int, kept: bool) -> None:
+    budget = RetryBudget()
+    for _ in range(taken):
+        budget.take(0)
+    assert sum(budget.spend(age_us) for _ in range(taken + 1)) == (retries if kept else 0)
+
+
+@pytest.mark.parametrize("failing, heard_us, zone", [
+    ([], 0, 0), ([0], 0, 0), ([0, 1], 0, 1), ([0, 1], -60 * SECOND, 0), ([0, 1, 2, 3, 4], 0, 0)])
+def test_traffic_moves_when_under_half_of_the_own_group_succeed(
+        failing: list[int], heard_us: int, zone: int) -> None:
+    side = sidecar([entry(0), entry(1), entry(2), entry(3, 1), entry(4, 1)])
+    for ix in failing:
+        side.endpoints[ix].good, side.endpoints[ix].heard_us = 0.0, heard_us
+    sent = [d[2] for _ in range(10) for d in side.take(0, profile(), -1, SECOND).route(0)]
+    assert {side.endpoints[ix].zone for ix in sent} == {zone}
+
+
+@pytest.mark.parametrize("flying, latency, picked", [
+    ((3, 0), (1.0, 1.0), 1), ((0, 3), (1.0, 1.0), 0), ((1, 1), (0.9, 0.1), 1), ((0, 1), (0.9, 0.1), 0)])
+def test_the_one_with_fewer_own_hops_wins(
+        flying: tuple[int, int], latency: tuple[float, float], picked: int) -> None:
+    side = sidecar([entry(0), entry(1)])
+    for ix in (0, 1):
+        side.endpoints[ix].in_flight, side.endpoints[ix].latency = flying[ix], latency[ix]
+    assert side.take(0, profile(), -1, SECOND).route(0)[0][2] == picked
+
+
+@pytest.mark.parametrize("local, away, spills", [(0.2, 0.2, False), (0.4, 0.2, True), (0.2, 0.0, False)])
+def test_a_rising_share_spills_while_local_latency_stands_above(
+        local: float, away: float, spills: bool) -> None:
+    side = sidecar([entry(0), entry(1, 1)])
+    side.endpoints[0].latency, side.endpoints[1].latency = local, away
+    shares = []
+    for s in range(1, 5):
+        side.wake(s * SECOND)
+        shares.append(side.spill)
+    assert (sorted(set(shares)) == shares) is spills and (shares[-1] > 0) is spills
+
+
+@pytest.mark.parametrize("how, took_us, change", [
+    (Outcome.COMMITTED, SECOND // 10, 1), (Outcome.COMMITTED, SECOND * 9 // 10, -1),
+    (Outcome.TURNED_AWAY, 1000, -1), (Outcome.TIMED_OUT, SECOND, -1), (Outcome.CALLED_OFF, SECOND, 0)])
+def test_a_limit_grows_by_one_and_is_cut_by_a_share(how: Outcome, took_us: int, change: int) -> None:
+    side = sidecar([entry(0)])
+    e = side.endpoints[0]
+    e.limit = 2.0
+    tx = side.take(0, profile(), -1, 4 * SECOND)
+    tx.route(0)
+    tx.ended(0, took_us, how, took_us, how is Outcome.COMMITTED)
+    assert (e.limit > 2) - (e.limit < 2) == change and e.limit >= 1
+
+
+@pytest.mark.parametrize("rate, surplus", [(5, 0), (10, 0), (20, 100)])
+def test_what_a_member_sends_beyond_its_share_is_marked(rate: int, surplus: int) -> None:
+    shares = Shares([20.0], 2)
+    marked = sum(shares.surplus(0, n * SECOND // rate) for n in range(rate * 11))
+    assert abs(marked - surplus) <= 1
+
+
+@pytest.mark.parametrize("fails", [0, 1, 3, 20])
+def test_the_list_is_asked_for_again_well_before_the_old_one_counts_as_told(fails: int) -> None:
+    every = 10 * SECOND
+    asking = Asking(True, every, Chance(3))
+    asking.born(0)
+    now = asking.due_us
+    assert 0 <= now <= every // 8 and asking.due(now) and not asking.due(now)
+    for _ in range(fails):
+        asking.heard(now, True)
+        assert now < asking.due_us <= now + every // 2
+        now = asking.due_us
+        assert asking.due(now)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,105 @@
+"""The four rules, each without the bench."""
+
+from __future__ import annotations
+
+import pytest
+
+from cressrail.brain import NEVER_RAN, ColdRule, Entry, Outcome, RepeatRule, Tx
+from tests.helpers import SECOND, entry, profile, sidecar, warm_up
+
+RAN = [how for how in Outcome if how not in (*NEVER_RAN, Outcome.COMMITTED)]
+KINDS = [("idempotent", "all"), ("journalled", "all"), ("journalled", "zone"), ("journalled", "cell"),
+         ("non-idempotent", "all")]
+
+
+def after(kind: str, group: str, how: Outcome, parallel: bool = False) -> Tx:
+    side = sidecar([entry(0, 0, 0)], repeat_rule=RepeatRule(3, parallel))
+    tx = side.take(0, profile(kind, group), -1, 4 * SECOND)
+    tx.route(0)
+    tx.ended(0, 0, how, 0, False)
+    return tx
+
+
+@pytest.mark.parametrize("kind, group", KINDS)
+@pytest.mark.parametrize("how", [how for how in Outcome if how is not Outcome.COMMITTED])
+@pytest.mark.parametrize("zone, cell", [(0, 0), (0, 1), (1, 1)])
+@pytest.mark.parametrize("now", [0, 5 * SECOND])
+def test_a_further_hop_needs_proof_or_its_group_and_window(
+        kind: str, group: str, how: Outcome, zone: int, cell: int, now: int) -> None:
+    tx = after(kind, group, how)
+    rule = tx.side.repeat_rule
+    other = sidecar([entry(1, zone, cell)]).endpoints[1]
+    inside = group == "all" or (zone == 0 and (group == "zone" or cell == 0))
+    may = how in NEVER_RAN or kind == "idempotent" or (kind == "journalled" and inside and now < 5 * SECOND)
+    assert (rule.may_hop(tx, now) and rule.may_go_to(tx, other)) is may
+
+
+@pytest.mark.parametrize("kind, group", KINDS)
+@pytest.mark.parametrize("how", [how for how in Outcome if how is not Outcome.COMMITTED])
+def test_an_early_rollback_promises_that_a_new_try_is_harmless(kind: str, group: str, how: Outcome) -> None:
+    may = how in NEVER_RAN or kind == "idempotent" or (kind, group) == ("journalled", "all")
+    assert RepeatRule(3, False).may_roll_back(after(kind, group, how)) is may
+
+
+@pytest.mark.parametrize("parallel, out, hops, may", [
+    (False, 0, 1, True), (False, 1, 1, False), (True, 1, 1, True), (True, 0, 3, False), (False, 0, 3, False)])
+def test_hops_out_together_and_in_all(parallel: bool, out: int, hops: int, may: bool) -> None:
+    side = sidecar([entry(0)])
+    tx = side.take(0, profile(), -1, 4 * SECOND)
+    tx.hops = [side.endpoints[0]] * hops
+    tx.out = dict.fromkeys(range(out), 0)
+    assert RepeatRule(3, parallel).may_hop(tx, 0) is may
+
+
+@pytest.mark.parametrize("how", [how for how in Outcome if how is not Outcome.COMMITTED])
+@pytest.mark.parametrize("kind, group", KINDS)
+def test_each_transaction_gets_one_final_answer(kind: str, group: str, how: Outcome) -> None:
+    side = sidecar([entry(n, n % 2) for n in range(4)])
+    warm_up(side)
+    tx = side.take(0, profile(kind, group), -1, 4 * SECOND)
+    answers, hops = [], len(tx.route(0))
+    for hop in range(4):
+        for _, what, *_ in tx.ended(hop, 0, how, 1000, False) if hop < hops else []:
+            hops += what == "hop"
+            answers += [what] if what in ("rolled back", "abandoned") else []
+    assert len(answers) == 1 and tx.closed and not tx.out
+    assert tx.ended(0, 0, how, 1000, True) == []
+
+
+@pytest.mark.parametrize("remaining_us", [10_000, 100_000, 4 * SECOND])
+def test_whoever_waits_in_line_leaves_it_in_time(remaining_us: int) -> None:
+    side = sidecar([entry(0)])
+    warm_up(side)
+    side.endpoints[0].limit = 0.0
+    waiting = [side.take(0, profile(), -1, left) for left in (4 * SECOND, remaining_us)]
+    assert [tx.route(0) for tx in waiting] == [[], []]
+    now = side.wake_us
+    while not waiting[1].closed:
+        assert now <= remaining_us
+        side.wake(now)
+        now = side.wake_us
+
+
+@pytest.mark.parametrize("told", [[entry(0, on=False), entry(1)], [entry(1)]])
+def test_nothing_new_to_an_endpoint_that_drains_or_is_gone(told: list[Entry]) -> None:
+    side = sidecar([entry(0), entry(1)])
+    side.hear_list(0, told, True)
+    sent = [d[2] for _ in range(40) for d in side.take(0, profile(), -1, SECOND).route(0) if d[1] == "hop"]
+    assert sent and set(sent) == {1}
+
+
+@pytest.mark.parametrize("age_s, most", [(0, 3), (5, 8), (9, 11)])
+def test_a_cold_endpoint_gets_its_part_of_what_a_warm_one_gets(age_s: int, most: int) -> None:
+    side = sidecar([entry(0), entry(1)], cold_rule=ColdRule(0.2, 10 * SECOND))
+    for ms in range(0, 20_000, 50):
+        warm_up(side, 1, ms * 1000)
+    start = 20 * SECOND
+    side.hear_list(start + age_s * SECOND, [entry(1, started_us=start)], False)
+    sent = 0
+    for ms in range(0, 1000, 25):
+        now = start + age_s * SECOND + ms * 1000
+        tx = side.take(now, profile(), -1, SECOND)
+        for _, _, ix, _ in tx.route(now):
+            sent += ix == 1
+            tx.ended(0, now, Outcome.COMMITTED, SECOND // 10, True)
+    assert sent <= most
