--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -296,8 +296,9 @@
 
     # What is told
 
-    def hear_list(self, now: int, entries: Iterable[Entry], full: bool) -> None:
-        self.asking.heard(now, False)
+    def hear_list(self, now: int, entries: Iterable[Entry], full: bool, answer: bool = True) -> None:
+        if answer:  # Guards against taking the stale list of a start for one: drains go unheard.
+            self.asking.heard(now, False)
         named = []
         for ix, zone, cell, scale, on, started_us in entries:
             e = self.endpoints.get(ix)
--- a/cressrail/wirehost/host.py
+++ b/cressrail/wirehost/host.py
@@ -87,7 +87,7 @@
             if ix is not None:  # one that is gone before it was ever named says nothing
                 zone_ix = self.zones.setdefault(zone, len(self.zones))
                 entries.append((ix, zone_ix, cell, scale, on, started_us))
-        self.sidecar.hear_list(now, entries, form != "D")
+        self.sidecar.hear_list(now, entries, full=form != "D", answer=form != "C")
         return []
 
     def alarm(self, line: int, fields: Fields, now: int) -> list[brain.Decision]:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -89,6 +89,14 @@
     assert abs(marked - surplus) <= 1
 
 
+@pytest.mark.parametrize("answer, asks", [(True, False), (False, True)])
+def test_the_list_of_a_start_is_no_answer(answer: bool, asks: bool) -> None:
+    side = sidecar([], asking=Asking(True, 10 * SECOND, Chance(3)))
+    side.asking.due_us = SECOND
+    side.hear_list(0, [entry(0)], True, answer)
+    assert side.asking.due(2 * SECOND) is asks
+
+
 @pytest.mark.parametrize("fails", [0, 1, 3, 20])
 def test_the_list_is_asked_for_again_well_before_the_old_one_counts_as_told(fails: int) -> None:
     every = 10 * SECOND
