--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -450,7 +450,7 @@
             e.aside_us = e.aside_runs = 0
         else:
             crowded = crowded or how is Outcome.TURNED_AWAY
-        if how in (Outcome.UNREACHED, Outcome.DROPPED):
+        if how in OWNED:  # Guards against an endpoint that turns away at once and so draws all first tries.
             e.aside_runs = min(e.aside_runs + 1, 5)
             e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
