Limits count over all copies and bind as a group sum; spill only to groups heard of

Limits are now this copy's part of a limit over all copies (floor one hop over all), and the sum over a group binds.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -28,11 +28,11 @@
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
 LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop finds its endpoint crowded
 CUT_SHARE = 0.75  # what is left of a limit that is cut
-FIRST_LIMIT = 8.0  # of hops in flight at an endpoint: far above need in calm, cut or grown from there
+FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 SURPLUS_PART = 0.5  # of an endpoint's limit is open to traffic beyond a member's share
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
-SPILL_STEP = 1 / 16  # by which the spilled share moves a second
-SPILL_ABOVE, SPILL_BELOW = 1.5, 1.2  # local latency over the next group's: spill more above, less below
+SPILL_STEP, SPILL_MOST = 1 / 16, 1 / 2  # by which the spilled share moves a second, and its bound
+SPILL_ABOVE, SPILL_BELOW = 2.0, 1.5  # local latency over the next group's: spill more above, less below
 MEMORY = 8  # outcomes that an endpoint's averages look back on
 Decision = tuple["Tx", str, int, int]
 Entry = tuple[int, int, int, float, bool, int]  # endpoint, zone, cell, scale, on, started
@@ -89,7 +89,7 @@
     on: bool = False
     started_us: int = 0
     in_flight: int = 0
-    limit: float = FIRST_LIMIT
+    limit: float = 1.0  # of own hops in flight; below one, the sum over the group still binds
     cut_us: int = 0
     latency: float = 0.0  # of committed hops, in service goals
     good: float = 1.0  # share of hops that the endpoint did not fail
@@ -102,9 +102,6 @@
     def succeeds(self, now: int) -> bool:
         return self.good >= 0.5 or now - self.heard_us > BUDGET_WINDOW_US
 
-    def room(self) -> bool:
-        return self.in_flight < self.limit
-
 
 class RetryBudget:
     """Holds in every window that ends now: retries in it, this one included, over transactions in it."""
@@ -271,7 +268,7 @@
 class Sidecar:
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
                  round_us: int, connect_timeout_us: int, come_back_us: int, may_cancel: bool, asking: Asking,
-                 repeat_rule: RepeatRule, cold_rule: ColdRule, shares: Shares, now: int) -> None:
+                 repeat_rule: RepeatRule, cold_rule: ColdRule, shares: Shares, copies: int, now: int) -> None:
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups: list[list[Endpoint]] = [[] for _ in range(zones)]
@@ -286,11 +283,12 @@
         self.repeat_rule = repeat_rule
         self.cold_rule = cold_rule
         self.shares = shares
+        self.copies = copies
         self.budget = RetryBudget()
         self.line: deque[Tx] = deque()
         self.spill = 0.0
+        self.next_zone = -1  # the group with the lowest latency after the own
         self.spill_us = now
-        self.usual = 0.0  # the lowest latency of late, in service goals
         asking.born(now)
         self.wake_us = now
 
@@ -305,7 +303,8 @@
             if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
                 flying = e.in_flight if e else 0
                 e = self.endpoints[ix] = e or Endpoint(ix)
-                e.started_us, e.limit, e.latency, e.good, e.aside_us = started_us, FIRST_LIMIT, 0.0, 1.0, 0
+                e.started_us, e.latency, e.good, e.aside_us = started_us, 0.0, 1.0, 0
+                e.limit = FIRST_LIMIT / self.copies
                 # Guards against all copies spending a first hop at once on a start they all hear of.
                 e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
             e.zone, e.cell, e.scale, e.on = zone, cell, max(scale, 1e-9), on
@@ -331,7 +330,7 @@
     def wake(self, now: int) -> list[Decision]:
         if now - self.spill_us >= 1_000_000:
             self.spill_us = now
-            self._adjust_spill()
+            self._adjust_spill(now)
         decided = self._serve_line(now)
         self.wake_us = self.spill_us + 1_000_000
         if self.line:
@@ -401,9 +400,8 @@
 
     def _pick(self, tx: Tx, now: int) -> Endpoint | None:
         order = self.order
-        if self.spill and self.chance.part() < self.spill:
-            k = 1 + self.chance.below(len(order) - 1)
-            order = [order[k], *order[:k], *order[k + 1:]]
+        if self.next_zone >= 0 and self.spill and self.chance.part() < self.spill:
+            order = [self.next_zone, *(z for z in order if z != self.next_zone)]
         failing = []
         for zone in order:
             group = self.groups[zone]
@@ -423,8 +421,12 @@
         rule, cold = self.repeat_rule, self.cold_rule
         part = SURPLUS_PART if tx.surplus else 1.0
         size = sum(e.scale for e in group)
+        group = [e for e in group if aside_too or e.aside_us <= now]
+        # Guards against a floor of one hop from each of many copies, which alone can crowd an endpoint.
+        if sum(e.in_flight for e in group) >= max(1.0, part * sum(e.limit for e in group)):
+            return None
         ready = [e for e in group
-                 if e.in_flight < e.limit * part and (aside_too or e.aside_us <= now) and e not in tx.hops
+                 if e.in_flight < max(1.0, e.limit * part) and e not in tx.hops
                  and (tx.anchor is None or rule.may_go_to(tx, e))
                  and (not cold.cold(e, now) or cold.credit(e, now, e.scale / size))]
         if len(ready) < 2:
@@ -458,25 +460,23 @@
         if crowded:
             if now - latency_us >= e.cut_us:  # once for all hops that were out together
                 e.cut_us = now
-                e.limit = max(1.0, e.limit * CUT_SHARE)
+                e.limit = max(1 / self.copies, e.limit * CUT_SHARE)
         elif how is Outcome.COMMITTED and 2 * (e.in_flight + 1) >= e.limit:
-            e.limit += 1 / e.limit
-
-    def _adjust_spill(self) -> None:
-        def mean(group: list[Endpoint]) -> float:
-            heard = [e.latency for e in group if e.latency]
-            return sum(heard) / len(heard) if heard else 0.0
-
-        own = mean(self.groups[self.order[0]])
-        others = [self.groups[z] for z in self.order[1:] if self.groups[z]]
-        if not own or not others:
-            self.spill = 0.0 if not others else self.spill
-            return
-        self.usual = min(own, self.usual + self.usual / 64) if self.usual else own
-        best = min(mean(g) or self.usual for g in others)
-        if own > best * SPILL_ABOVE:
-            self.spill = min(0.75, self.spill + SPILL_STEP)
-        elif own < best * SPILL_BELOW:
+            e.limit += 1 / (e.limit * self.copies)  # by one over all copies, if all are as busy
+
+    def _adjust_spill(self, now: int) -> None:
+        """A rising share goes to the next group while local latency stands well above it. A group not heard
+        of lately gives nothing to compare: the overflow of full endpoints is what makes it heard."""
+        means = []
+        for zone in self.order:
+            heard = [e.latency for e in self.groups[zone]
+                     if e.latency and now - e.heard_us <= BUDGET_WINDOW_US]
+            means.append(sum(heard) / len(heard) if heard else 0.0)
+        best, self.next_zone = min(((m, z) for m, z in zip(means[1:], self.order[1:], strict=True) if m),
+                                   default=(0.0, -1))
+        if best and means[0] > best * SPILL_ABOVE:
+            self.spill = min(SPILL_MOST, self.spill + SPILL_STEP)
+        elif not best or means[0] < best * SPILL_BELOW:
             self.spill = max(0.0, self.spill - SPILL_STEP)
 
     def _wait_ahead(self, tx: Tx) -> float:
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -109,4 +109,4 @@
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1)),
-        shares=Shares(allowances, copies), now=now)
+        shares=Shares(allowances, copies), copies=copies, now=now)
