--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -26,7 +26,10 @@
 
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
-LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop finds its endpoint crowded
+LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
+LATE_SWINGS = 2.5  # then a hop is late that takes so many mean swings more than is usual
+USUAL_MEMORY = 64  # hops that the usual latency looks back on
+USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
 FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 SURPLUS_PART = 0.5  # of an endpoint's limit is open to traffic beyond a member's share
@@ -273,7 +276,10 @@
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups: list[list[Endpoint]] = [[] for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
-        self.late = LATE_SHARE * tiers_to_go
+        self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
+        self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
+        self.usual_us = now
+        self.heard = 0
         self.last_tier = last_tier
         self.round_us = round_us
         self.connect_timeout_us = connect_timeout_us
@@ -448,6 +454,7 @@
         crowded = took > self.late
         if how is Outcome.COMMITTED:
             self.cold_rule.carry(now)
+            self._learn_usual(now, took)
             e.latency += (took - e.latency) / MEMORY if e.latency else took
             e.aside_us = e.aside_runs = 0
         else:
@@ -464,6 +471,18 @@
         elif how is Outcome.COMMITTED and 2 * (e.in_flight + 1) >= e.limit:
             e.limit += 1 / (e.limit * self.copies)  # by one over all copies, if all are as busy
 
+    def _learn_usual(self, now: int, took: float) -> None:
+        """Crowding shows against the lowest mean of late: work that varies more needs a wider margin."""
+        self.heard += 1
+        weight = 1 / min(self.heard, USUAL_MEMORY)
+        self.mean += (took - self.mean) * weight
+        self.swing += (abs(took - self.mean) / self.mean - self.swing) * weight
+        if self.heard >= USUAL_MEMORY:
+            risen = self.usual * (1 + (now - self.usual_us) / USUAL_RISE_US)
+            self.usual = min(self.mean, risen) if risen else self.mean
+            self.late = min(1.0, self.usual * (1 + LATE_SWINGS * self.swing))
+        self.usual_us = now
+
     def _adjust_spill(self, now: int) -> None:
         """A rising share goes to the next group while local latency stands well above it. A group not heard
         of lately gives nothing to compare: the overflow of full endpoints is what makes it heard."""
