--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -31,6 +31,7 @@
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
+DOOR_COPIES = 3.0  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 SURPLUS_PART = 0.5  # of an endpoint's limit is open to traffic beyond a member's share
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
@@ -270,8 +271,9 @@
 
 class Sidecar:
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
-                 round_us: int, connect_timeout_us: int, come_back_us: int, may_cancel: bool, asking: Asking,
-                 repeat_rule: RepeatRule, cold_rule: ColdRule, shares: Shares, copies: int, now: int) -> None:
+                 at_door: bool, round_us: int, connect_timeout_us: int, come_back_us: int,
+                 may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
+                 shares: Shares, copies: int, now: int) -> None:
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups: list[list[Endpoint]] = [[] for _ in range(zones)]
@@ -290,6 +292,9 @@
         self.cold_rule = cold_rule
         self.shares = shares
         self.copies = copies
+        # By one over all copies. Guards against many at the door that grow at once while a late hop cuts for
+        # one alone; behind it a transaction turned away wastes the work above, so limits stay loose there.
+        self.growth = (DOOR_COPIES / copies if at_door else 1.0) / copies
         self.budget = RetryBudget()
         self.line: deque[Tx] = deque()
         self.spill = 0.0
@@ -468,8 +473,10 @@
             if now - latency_us >= e.cut_us:  # once for all hops that were out together
                 e.cut_us = now
                 e.limit = max(1 / self.copies, e.limit * CUT_SHARE)
-        elif how is Outcome.COMMITTED and 2 * (e.in_flight + 1) >= e.limit:
-            e.limit += 1 / (e.limit * self.copies)  # by one over all copies, if all are as busy
+        elif how is Outcome.COMMITTED:
+            group = self.groups[e.zone]
+            if 2 * (sum(o.in_flight for o in group) + 1) >= sum(o.limit for o in group):
+                e.limit += self.growth / e.limit
 
     def _learn_usual(self, now: int, took: float) -> None:
         """Crowding shows against the lowest mean of late: work that varies more needs a wider margin."""
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -101,7 +101,7 @@
     copies = told.whole("n_instances", 1)
     return Sidecar(
         chance=chance, zone=zones.index(told.word("zone")), zones=len(zones),
-        tiers_to_go=(len(tiers) - stage) / len(tiers), last_tier=stage == len(tiers) - 1,
+        tiers_to_go=(len(tiers) - stage) / len(tiers), last_tier=stage == len(tiers) - 1, at_door=stage == 0,
         round_us=told.whole("round_us", 1),
         connect_timeout_us=told.whole("limits.connect_timeout_us", 1),
         come_back_us=told.whole("limits.max_retry_after_us", 0) if told.yes("limits.retry_after") else 0,
