At the door, half of the limits is open to all, the rest and the line by what is earned

What a transaction may fill now grows with its revenue for the time it holds an endpoint (surplus traffic earns the surplus rate), and the line goes by the same, so no low earner at its head holds others up.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -33,7 +34,7 @@
 CUT_SHARE = 0.75  # what is left of a limit that is cut
 DOOR_COPIES = 3.0  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
-SURPLUS_PART = 0.5  # of an endpoint's limit is open to traffic beyond a member's share
+OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
 SPILL_STEP, SPILL_MOST = 1 / 16, 1 / 2  # by which the spilled share moves a second, and its bound
 SPILL_ABOVE, SPILL_BELOW = 2.0, 1.5  # local latency over the next group's: spill more above, less below
@@ -80,6 +81,7 @@
     window_us: int
     service_goal_us: int
     hard_limit_us: int
+    earns: float  # revenue for the time it holds an endpoint, over that of the best profile
 
 
 @dataclass(slots=True, eq=False)
@@ -187,7 +189,8 @@
 class Shares:
     """Marks what a member sends beyond this copy's part of its allowance."""
 
-    def __init__(self, allowances_per_s: list[float], copies: int) -> None:
+    def __init__(self, allowances_per_s: list[float], copies: int, surplus_revenue: float) -> None:
+        self.surplus_revenue = surplus_revenue
         self.rates = [a / copies / 1e6 for a in allowances_per_s]
         self.credit = [r * 1e6 for r in self.rates]  # a second's worth at most
         self.filled_us = [0] * len(self.rates)
@@ -236,8 +239,8 @@
 class Tx:
     """The handle of one transaction."""
 
-    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "out", "profile", "side",
-                 "surplus")
+    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "out", "part", "profile",
+                 "side", "surplus")
 
     def __init__(self, side: Sidecar, profile: Profile, now: int, remaining_us: int, surplus: bool) -> None:
         self.side = side
@@ -245,6 +248,8 @@
         self.end_us = now + remaining_us - min(remaining_us // 64, side.round_us * 2)
         self.leave_us = min(self.end_us, now + profile.service_goal_us // LINE_PARTS)  # the line, by then
         self.surplus = surplus
+        earns = profile.earns * (side.shares.surplus_revenue if surplus else 1.0)
+        self.part = OPEN_PART + (1 - OPEN_PART) * earns if side.at_door else 1.0  # of limits, open to it
         self.hops: list[Endpoint] = []
         self.out: dict[int, int] = {}  # hop number -> sent
         self.anchor: Endpoint | None = None  # of the first hop that may have run
@@ -292,11 +297,12 @@
         self.cold_rule = cold_rule
         self.shares = shares
         self.copies = copies
+        self.at_door = at_door
         # By one over all copies. Guards against many at the door that grow at once while a late hop cuts for
         # one alone; behind it a transaction turned away wastes the work above, so limits stay loose there.
         self.growth = (DOOR_COPIES / copies if at_door else 1.0) / copies
         self.budget = RetryBudget()
-        self.line: deque[Tx] = deque()
+        self.line: list[Tx] = []  # best earners first
         self.spill = 0.0
         self.next_zone = -1  # the group with the lowest latency after the own
         self.spill_us = now
@@ -353,12 +359,14 @@
     def route(self, tx: Tx, now: int) -> list[Decision]:
         if tx.end_us <= now:
             return self._give_up(tx)
-        e = None if self.line and not tx.surplus else self._pick(tx, now)
+        behind = bool(self.line) and self.line[0].part >= tx.part
+        e = None if behind else self._pick(tx, now)
         if e is not None:
             return [self._hop(tx, e, now)]
         if tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
             return self._give_up(tx)
-        self.line.append(tx)
+        # Guards against a low earner at the head, to whom little is open, holding up all behind it.
+        insort(self.line, tx, key=lambda other: -other.part)
         self.wake_us = min(self.wake_us, now + 4 * self.round_us, tx.leave_us)
         return []
 
@@ -430,7 +438,7 @@
 
     def _pick_in(self, group: list[Endpoint], tx: Tx, now: int, aside_too: bool) -> Endpoint | None:
         rule, cold = self.repeat_rule, self.cold_rule
-        part = SURPLUS_PART if tx.surplus else 1.0
+        part = tx.part
         size = sum(e.scale for e in group)
         group = [e for e in group if aside_too or e.aside_us <= now]
         # Guards against a floor of one hop from each of many copies, which alone can crowd an endpoint.
@@ -507,17 +515,18 @@
 
     def _wait_ahead(self, tx: Tx) -> float:
         rule = self.cold_rule
-        return len(self.line) * rule.warm_within_us / max(1.0, rule.carried)
+        ahead = sum(other.part >= tx.part for other in self.line)
+        return ahead * rule.warm_within_us / max(1.0, rule.carried)
 
     def _serve_line(self, now: int) -> list[Decision]:
         # Guards against one at the head hiding others whose time is up: a client's last try may be short.
         late = [tx for tx in self.line if tx.closed or tx.leave_us <= now]
         if late:
-            self.line = deque(tx for tx in self.line if not tx.closed and tx.leave_us > now)
+            self.line = [tx for tx in self.line if not tx.closed and tx.leave_us > now]
         decided = [d for tx in late if not tx.closed for d in self._give_up(tx)]
         while self.line:
             e = self._pick(self.line[0], now)
             if e is None:
                 break
-            decided.append(self._hop(self.line.popleft(), e, now))
+            decided.append(self._hop(self.line.pop(0), e, now))
         return decided
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -72,7 +72,13 @@
 
 def profiles(told: Told) -> dict[str, Profile]:
     found = {}
-    for n in range(told.whole("profiles.count", 1)):
+    count = told.whole("profiles.count", 1)
+    by_work = told.one_of("revenue_basis", {"work": "1", "request": ""}) == "1"
+    # Where revenue is counted for each transaction, a later service goal stands for more work.
+    yields = [told.real(f"profiles.{n}.revenue", 0, 1e12)
+              / (1 if by_work else told.whole(f"profiles.{n}.service_goal_us", 1)) for n in range(count)]
+    best = max(yields) or 1.0
+    for n in range(count):
         at = f"profiles.{n}."
         kind = told.one_of(at + "repeat", KINDS)
         group, window_us = ALL, 0
@@ -81,7 +87,7 @@
             window_us = told.whole(at + "window_us", 0)
         found[told.word(at + "name")] = Profile(
             kind, group, window_us,
-            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1))
+            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), yields[n] / best)
     return found
 
 
@@ -109,4 +115,5 @@
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1)),
-        shares=Shares(allowances, copies), copies=copies, now=now)
+        shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
+        copies=copies, now=now)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,8 +20,8 @@
 SECOND = 1_000_000
 
 
-def profile(kind: str = "idempotent", group: str = ALL) -> Profile:
-    return Profile(kind, group, 5 * SECOND, SECOND, 4 * SECOND)
+def profile(kind: str = "idempotent", group: str = ALL, earns: float = 1.0) -> Profile:
+    return Profile(kind, group, 5 * SECOND, SECOND, 4 * SECOND, earns)
 
 
 def entry(ix: int, zone: int = 0, cell: int = 0, on: bool = True, started_us: int = 0) -> Entry:
@@ -33,7 +33,7 @@
     told: dict[str, Any] = dict(
         chance=chance, zone=0, zones=2, tiers_to_go=1.0, last_tier=True, at_door=True, round_us=5000,
         connect_timeout_us=SECOND // 4, come_back_us=0, may_cancel=True, asking=Asking(False, 0, chance),
-        repeat_rule=RepeatRule(3, False), cold_rule=ColdRule(0.2, 10 * SECOND), shares=Shares([], 1),
+        repeat_rule=RepeatRule(3, False), cold_rule=ColdRule(0.2, 10 * SECOND), shares=Shares([], 1, 0.1),
         copies=1, now=0)
     side = Sidecar(**{**told, **parts})
     side.hear_list(0, fleet, True)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -85,7 +85,7 @@
 
 @pytest.mark.parametrize("rate, surplus", [(5, 0), (10, 0), (20, 100)])
 def test_what_a_member_sends_beyond_its_share_is_marked(rate: int, surplus: int) -> None:
-    shares = Shares([20.0], 2)
+    shares = Shares([20.0], 2, 0.1)
     marked = sum(shares.surplus(0, n * SECOND // rate) for n in range(rate * 11))
     assert abs(marked - surplus) <= 1
 
@@ -110,3 +110,18 @@
         assert now < asking.due_us <= now + every // 2
         now = asking.due_us
         assert asking.due(now)
+
+
+@pytest.mark.parametrize("earns, at_door, leaves_first", [
+    ((0.1, 1.0), True, 1), ((1.0, 0.1), True, 0), ((0.5, 0.5), True, 0), ((0.1, 1.0), False, 0)])
+def test_the_line_serves_best_earners_first_at_the_door(
+        earns: tuple[float, float], at_door: bool, leaves_first: int) -> None:
+    side = sidecar([entry(0)], at_door=at_door)
+    warm_up(side)
+    side.endpoints[0].limit = 1.0
+    busy = side.take(0, profile(), -1, 4 * SECOND)
+    busy.route(0)
+    waiting = [side.take(0, profile(earns=part), -1, 4 * SECOND) for part in earns]
+    assert [tx.route(0) for tx in waiting] == [[], []]
+    sent = [d[0] for d in busy.ended(0, 1000, Outcome.COMMITTED, 1000, True) if d[1] == "hop"]
+    assert sent[0] is waiting[leaves_first]
