--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -28,7 +28,7 @@
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
 LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
-LATE_SWINGS = 2.5  # then a hop is late that takes so many mean swings more than is usual
+LATE_SWINGS = 2.0  # then a hop is late that takes so many mean swings more than is usual
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
@@ -84,6 +84,15 @@
     earns: float  # revenue for the time it holds an endpoint, over that of the best profile
 
 
+def earnings(revenues: list[float], goals_us: list[int], by_work: bool, worst_weight: float) -> list[float]:
+    """What each profile earns for the time it holds an endpoint, over the best. Where revenue is counted for
+    each transaction, a later service goal stands for more work. The part of the users' measure that goes by
+    the worst-served profile counts for all alike. Guards against starving the poorest profile outright."""
+    yields = [r if by_work else r / goal for r, goal in zip(revenues, goals_us, strict=True)]
+    best = max(yields) or 1.0
+    return [worst_weight + (1 - worst_weight) * y / best for y in yields]
+
+
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """All that this sidecar knows of one endpoint."""
@@ -478,8 +487,8 @@
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
         e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
         if crowded:
-            if now - latency_us >= e.cut_us:  # once for all hops that were out together
-                e.cut_us = now
+            if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
+                e.cut_us = now  # hops that were out together count once, but each time-out counts
                 e.limit = max(1 / self.copies, e.limit * CUT_SHARE)
         elif how is Outcome.COMMITTED:
             group = self.groups[e.zone]
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -16,6 +16,7 @@
     RepeatRule,
     Shares,
     Sidecar,
+    earnings,
 )
 
 KINDS = {"safe": IDEMPOTENT, "keyed": JOURNALLED, "unsafe": NON_IDEMPOTENT}
@@ -54,7 +55,9 @@
             raise Unfit(f"{path} is below {least}: {value}")
         return value
 
-    def real(self, path: str, least: float, most: float) -> float:
+    def real(self, path: str, least: float, most: float, absent: float | None = None) -> float:
+        if absent is not None and path not in self.pairs:
+            return absent
         try:
             value = float(self.word(path))
         except ValueError:
@@ -74,10 +77,9 @@
     found = {}
     count = told.whole("profiles.count", 1)
     by_work = told.one_of("revenue_basis", {"work": "1", "request": ""}) == "1"
-    # Where revenue is counted for each transaction, a later service goal stands for more work.
-    yields = [told.real(f"profiles.{n}.revenue", 0, 1e12)
-              / (1 if by_work else told.whole(f"profiles.{n}.service_goal_us", 1)) for n in range(count)]
-    best = max(yields) or 1.0
+    earns = earnings([told.real(f"profiles.{n}.revenue", 0, 1e12) for n in range(count)],
+                     [told.whole(f"profiles.{n}.service_goal_us", 1) for n in range(count)],
+                     by_work, told.real("goal.worst_class", 0, 1, absent=0.0))
     for n in range(count):
         at = f"profiles.{n}."
         kind = told.one_of(at + "repeat", KINDS)
@@ -87,7 +89,7 @@
             window_us = told.whole(at + "window_us", 0)
         found[told.word(at + "name")] = Profile(
             kind, group, window_us,
-            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), yields[n] / best)
+            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), earns[n])
     return found
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cressrail.brain import Asking, Chance, Outcome, RetryBudget, Shares
+from cressrail.brain import Asking, Chance, Outcome, RetryBudget, Shares, earnings
 from tests.helpers import SECOND, entry, profile, sidecar, warm_up
 
 
@@ -125,3 +125,21 @@
     assert [tx.route(0) for tx in waiting] == [[], []]
     sent = [d[0] for d in busy.ended(0, 1000, Outcome.COMMITTED, 1000, True) if d[1] == "hop"]
     assert sent[0] is waiting[leaves_first]
+
+
+@pytest.mark.parametrize("by_work, worst_weight, earns", [
+    (False, 0.0, [1.0, 1 / 6]), (True, 0.0, [1.0, 0.25]), (False, 0.4, [1.0, 0.5]), (True, 1.0, [1.0, 1.0])])
+def test_the_poorest_profile_is_not_starved_outright(
+        by_work: bool, worst_weight: float, earns: list[float]) -> None:
+    assert earnings([8.0, 2.0], [2 * SECOND, 3 * SECOND], by_work, worst_weight) == pytest.approx(earns)
+
+
+@pytest.mark.parametrize("how, cuts", [(Outcome.COMMITTED, 1), (Outcome.TIMED_OUT, 3)])
+def test_hops_out_together_cut_once_but_for_time_outs(how: Outcome, cuts: int) -> None:
+    side = sidecar([entry(0)])
+    txs = [side.take(0, profile(), -1, 4 * SECOND) for _ in range(3)]
+    for tx in txs:
+        tx.route(0)
+    for n, tx in enumerate(txs):
+        tx.ended(0, SECOND + n, how, SECOND + n, True)
+    assert side.endpoints[0].limit == pytest.approx(8 * 0.75**cuts)
