--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -115,9 +115,6 @@
     cold_us: int = 0
 
     def succeeds(self, now: int) -> bool:
-        # Guards against a cut-off zone being tried endpoint by endpoint until each average has sunk.
-        if self.aside_us > now:
-            return False
         return self.good >= 0.5 or now - self.heard_us > BUDGET_WINDOW_US
 
 
@@ -442,10 +439,8 @@
             e = self._pick_in(group, tx, now, False)
             if e is not None:
                 return e
-        # Guards against overflow into a zone that is cut off while the own one is merely full.
-        desperate = len(failing) == sum(1 for group in self.groups if group)
         for zone in failing:
-            e = self._pick_in(self.groups[zone], tx, now, desperate)
+            e = self._pick_in(self.groups[zone], tx, now, True)
             if e is not None:
                 return e
         return None
