Behind the door limits are not cut below their first

Conclusion: the door is the place to limit; behind it a limit may stop growth but must let through what the door admits.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -309,6 +309,8 @@
         self.at_door = at_door
         # By one over all copies. Guards against many at the door that grow at once while a late hop cuts for
         # one alone; behind it a transaction turned away wastes the work above, so limits stay loose there.
+        # Likewise the floor: one hop over all copies at the door, the first limit behind it.
+        self.floor = (1.0 if at_door else FIRST_LIMIT) / copies
         self.growth = (DOOR_COPIES / copies if at_door else 1.0) / copies
         self.budget = RetryBudget()
         self.line: list[Tx] = []  # best earners first
@@ -489,7 +491,7 @@
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                e.limit = max(1 / self.copies, e.limit * CUT_SHARE)
+                e.limit = max(self.floor, e.limit * CUT_SHARE)
         elif how is Outcome.COMMITTED:
             group = self.groups[e.zone]
             if 2 * (sum(o.in_flight for o in group) + 1) >= sum(o.limit for o in group):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -134,6 +134,16 @@
     assert earnings([8.0, 2.0], [2 * SECOND, 3 * SECOND], by_work, worst_weight) == pytest.approx(earns)
 
 
+@pytest.mark.parametrize("at_door, floor", [(True, 1.0), (False, 8.0)])
+def test_behind_the_door_limits_stay_at_their_first_at_least(at_door: bool, floor: float) -> None:
+    side = sidecar([entry(0)], at_door=at_door)
+    for _ in range(40):
+        tx = side.take(0, profile(), -1, 4 * SECOND)
+        tx.route(0)
+        tx.ended(0, SECOND, Outcome.TIMED_OUT, SECOND, False)
+    assert side.endpoints[0].limit == floor
+
+
 @pytest.mark.parametrize("how, cuts", [(Outcome.COMMITTED, 1), (Outcome.TIMED_OUT, 3)])
 def test_hops_out_together_cut_once_but_for_time_outs(how: Outcome, cuts: int) -> None:
     side = sidecar([entry(0)])
