--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -317,7 +317,6 @@
         self.spill = 0.0
         self.next_zone = -1  # the group with the lowest latency after the own
         self.spill_us = now
-        self.started_us = now
         asking.born(now)
         self.wake_us = now
 
@@ -375,7 +374,7 @@
         e = None if behind else self._pick(tx, now)
         if e is not None:
             return [self._hop(tx, e, now)]
-        if tx.surplus or self._wait_ahead(tx, now) > tx.profile.service_goal_us // LINE_PARTS:
+        if tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
             return self._give_up(tx)
         # Guards against a low earner at the head, to whom little is open, holding up all behind it.
         insort(self.line, tx, key=lambda other: -other.part)
@@ -525,11 +524,10 @@
         elif not best or means[0] < best * SPILL_BELOW:
             self.spill = max(0.0, self.spill - SPILL_STEP)
 
-    def _wait_ahead(self, tx: Tx, now: int) -> float:
-        # Guards against a copy that has just started turning away all that must wait.
+    def _wait_ahead(self, tx: Tx) -> float:
         rule = self.cold_rule
         ahead = sum(other.part >= tx.part for other in self.line)
-        return ahead * min(rule.warm_within_us, now - self.started_us) / max(1.0, rule.carried)
+        return ahead * rule.warm_within_us / max(1.0, rule.carried)
 
     def _serve_line(self, now: int) -> list[Decision]:
         # Guards against one at the head hiding others whose time is up: a client's last try may be short.
