--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -173,7 +173,8 @@
     """This copy's part of the work that a starting endpoint may get: what a warm one of its group gets from
     here, times the share of capacity it has surely regained. Credit never runs ahead by more than one hop."""
 
-    def __init__(self, cold_from: float, warm_within_us: int) -> None:
+    def __init__(self, cold_from: float, warm_within_us: int, now: int) -> None:
+        self.born_us = now
         self.cold_from = cold_from
         self.warm_within_us = warm_within_us
         self.carried = 0.0  # hops committed, decaying over warm_within_us
@@ -189,7 +190,9 @@
     def credit(self, e: Endpoint, now: int, part: float) -> bool:
         age = max(0, now - e.started_us) / self.warm_within_us
         share = self.cold_from + (1 - self.cold_from) * age
-        rate = max(1.0, self.carried) / self.warm_within_us * part * share
+        # Guards against a copy that restarts amid a fleet of cold endpoints and has carried nothing to go by.
+        span = max(1, min(self.warm_within_us, now - self.born_us))
+        rate = max(1.0, self.carried) / span * part * share
         e.cold_credit = min(1.0, e.cold_credit + rate * (now - e.cold_us))
         e.cold_us = now
         return e.cold_credit >= 1.0
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -116,6 +116,7 @@
         may_cancel=told.yes("limits.may_cancel"),
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
-        cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1)),
+        cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
+                           now),
         shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
         copies=copies, now=now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -90,7 +90,7 @@
 
 @pytest.mark.parametrize("age_s, most", [(0, 3), (5, 8), (9, 11)])
 def test_a_cold_endpoint_gets_its_part_of_what_a_warm_one_gets(age_s: int, most: int) -> None:
-    side = sidecar([entry(0), entry(1)], cold_rule=ColdRule(0.2, 10 * SECOND))
+    side = sidecar([entry(0), entry(1)], cold_rule=ColdRule(0.2, 10 * SECOND, 0))
     for ms in range(0, 20_000, 50):
         warm_up(side, 1, ms * 1000)
     start = 20 * SECOND
@@ -103,3 +103,17 @@
             sent += ix == 1
             tx.ended(0, now, Outcome.COMMITTED, SECOND // 10, True)
     assert sent <= most
+
+
+@pytest.mark.parametrize("born_s, least, most", [(19, 1, 3), (0, 0, 1)])
+def test_a_copy_that_restarts_among_cold_endpoints_is_not_silent(born_s: int, least: int, most: int) -> None:
+    start = 19 * SECOND
+    rule = ColdRule(0.2, 10 * SECOND, born_s * SECOND)
+    side = sidecar([], cold_rule=rule)
+    side.hear_list(start, [entry(0, started_us=start)], True)
+    sent = 0
+    for ms in range(0, 2000, 10):
+        now = start + ms * 1000
+        decided = side.wake(now) + side.take(now, profile(), -1, SECOND).route(now)
+        sent += sum(what == "hop" for _, what, *_ in decided)
+    assert least <= sent <= most
