--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from bisect import insort
+from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -38,6 +38,7 @@
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
 SPILL_STEP, SPILL_MOST = 1 / 16, 1 / 2  # by which the spilled share moves a second, and its bound
 SPILL_ABOVE, SPILL_BELOW = 2.0, 1.5  # local latency over the next group's: spill more above, less below
+DRAWS = 8  # at random for an endpoint that is open, before those beside it are gone through
 MEMORY = 8  # outcomes that an endpoint's averages look back on
 Decision = tuple["Tx", str, int, int]
 Entry = tuple[int, int, int, float, bool, int]  # endpoint, zone, cell, scale, on, started
@@ -111,6 +112,7 @@
     heard_us: int = -1
     aside_us: int = 0  # gets no ordinary hop before then
     aside_runs: int = 0
+    inside: bool = False  # of the part of its group that is in use
     cold_credit: float = 0.0
     cold_us: int = 0
 
@@ -118,6 +120,41 @@
         return self.good >= 0.5 or now - self.heard_us > BUDGET_WINDOW_US
 
 
+class Group:
+    """The endpoints of one zone, and the part of them in use, with sums kept as they change. Guards against
+    work that grows with the fleet at every transaction: nothing here is walked on the way of one."""
+
+    def __init__(self) -> None:
+        self.all: list[Endpoint] = []
+        self.use: list[Endpoint] = []  # all but those set aside
+        self.back_us = 0  # the first of those set aside returns then
+        self.size = self.limit = 0.0  # sums over those in use
+        self.in_flight = 0
+        self.failed = 0
+        self.failing = False  # more than half of them
+
+    def choose(self, now: int) -> None:
+        """To be called where an endpoint comes, goes, is set aside, fails or recovers, and now and then."""
+        for e in self.use:
+            e.inside = False
+        self.use = [e for e in self.all if e.aside_us <= now]
+        self.back_us = min((e.aside_us for e in self.all if e.aside_us > now), default=1 << 62)
+        self.failed = sum(not e.succeeds(now) for e in self.all)
+        self.failing = 2 * self.failed > len(self.all)
+        if self.failing:  # tried last, but tried
+            self.use = list(self.all)
+        for e in self.use:
+            e.inside = True
+        self.size = sum(e.scale for e in self.use)
+        self.limit = sum(e.limit for e in self.use)
+        self.in_flight = sum(e.in_flight for e in self.use)
+
+    def shift(self, e: Endpoint, limit: float, in_flight: int) -> None:
+        if e.inside:
+            self.limit += limit
+            self.in_flight += in_flight
+
+
 class RetryBudget:
     """Holds in every window that ends now: retries in it, this one included, over transactions in it."""
 
@@ -293,7 +330,7 @@
                  shares: Shares, copies: int, now: int) -> None:
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
-        self.groups: list[list[Endpoint]] = [[] for _ in range(zones)]
+        self.groups = [Group() for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
         self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
@@ -317,6 +354,7 @@
         self.growth = (DOOR_COPIES / copies if at_door else 1.0) / copies
         self.budget = RetryBudget()
         self.line: list[Tx] = []  # best earners first
+        self.line_due_us = now  # the first leaves it then, if not before
         self.spill = 0.0
         self.next_zone = -1  # the group with the lowest latency after the own
         self.spill_us = now
@@ -346,10 +384,12 @@
             kept = dict.fromkeys(named)
             for e in self.endpoints.values():
                 e.on = e.on and e.ix in kept
-        self.groups = [[] for _ in self.order]
+        self.groups = [Group() for _ in self.order]
         for e in self.endpoints.values():
             if e.on:
-                self.groups[e.zone].append(e)
+                self.groups[e.zone].all.append(e)
+        for group in self.groups:
+            group.choose(now)
 
     def list_failed(self, now: int) -> None:
         self.asking.heard(now, True)
@@ -361,11 +401,13 @@
     def wake(self, now: int) -> list[Decision]:
         if now - self.spill_us >= 1_000_000:
             self.spill_us = now
+            for group in self.groups:
+                group.choose(now)
             self._adjust_spill(now)
         decided = self._serve_line(now)
         self.wake_us = self.spill_us + 1_000_000
         if self.line:
-            self.wake_us = min(self.wake_us, now + 4 * self.round_us, min(tx.leave_us for tx in self.line))
+            self.wake_us = min(self.wake_us, now + 4 * self.round_us, self.line_due_us)
         return decided
 
     # What is decided
@@ -380,7 +422,8 @@
         if tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
             return self._give_up(tx)
         # Guards against a low earner at the head, to whom little is open, holding up all behind it.
-        insort(self.line, tx, key=lambda other: -other.part)
+        insort(self.line, tx, key=_by_part)
+        self.line_due_us = min(self.line_due_us, tx.leave_us) if len(self.line) > 1 else tx.leave_us
         self.wake_us = min(self.wake_us, now + 4 * self.round_us, tx.leave_us)
         return []
 
@@ -390,6 +433,7 @@
         if tx.out.pop(hop, None) is None:
             return []
         e.in_flight -= 1
+        self.groups[e.zone].shift(e, 0.0, -1)
         self._judge(e, tx, now, how, latency_us)
         decided: list[Decision] = []
         if how not in NEVER_RAN and how is not Outcome.COMMITTED and tx.anchor is None:
@@ -400,7 +444,7 @@
                 decided += tx._call_off_others(hop)
         elif not tx.out:
             decided += self._after(tx, e, now, how)
-        return decided + self._serve_line(now)
+        return decided + self._serve_line(now) if self.line else decided
 
     def _after(self, tx: Tx, e: Endpoint, now: int, how: Outcome) -> list[Decision]:
         """The last hop out has failed: a claimed error is retried elsewhere, all else is answered at once."""
@@ -415,7 +459,8 @@
             return True
         if how in SILENT:
             return False
-        return self.last_tier or all(o.succeeds(now) for o in self.endpoints.values() if o.on and o is not e)
+        others = sum(g.failed for g in self.groups) - (e.on and not e.succeeds(now))
+        return self.last_tier or others <= 0
 
     def _give_up(self, tx: Tx) -> list[Decision]:
         tx.closed = True
@@ -427,6 +472,7 @@
         if self.cold_rule.cold(e, now):
             e.cold_credit -= 1
         e.in_flight += 1
+        self.groups[e.zone].shift(e, 0.0, 1)
         tx.out[len(tx.hops)] = now
         tx.hops.append(e)
         return (tx, HOP, e.ix, tx.end_us - now)
@@ -438,44 +484,57 @@
         failing = []
         for zone in order:
             group = self.groups[zone]
-            if 2 * sum(e.succeeds(now) for e in group) < len(group):
-                failing.append(zone)
+            if now >= group.back_us:
+                group.choose(now)
+            if group.failing:
+                failing.append(group)
                 continue
-            e = self._pick_in(group, tx, now, False)
+            e = self._pick_in(group, tx, now)
             if e is not None:
                 return e
-        for zone in failing:
-            e = self._pick_in(self.groups[zone], tx, now, True)
+        for group in failing:
+            e = self._pick_in(group, tx, now)
             if e is not None:
                 return e
         return None
 
-    def _pick_in(self, group: list[Endpoint], tx: Tx, now: int, aside_too: bool) -> Endpoint | None:
-        rule, cold = self.repeat_rule, self.cold_rule
-        part = tx.part
-        size = sum(e.scale for e in group)
-        group = [e for e in group if aside_too or e.aside_us <= now]
+    def _pick_in(self, group: Group, tx: Tx, now: int) -> Endpoint | None:
         # Guards against a floor of one hop from each of many copies, which alone can crowd an endpoint.
-        if sum(e.in_flight for e in group) >= max(1.0, part * sum(e.limit for e in group)):
+        if not group.use or group.in_flight >= max(1.0, tx.part * group.limit):
             return None
-        ready = [e for e in group
-                 if e.in_flight < max(1.0, e.limit * part) and e not in tx.hops
-                 and (tx.anchor is None or rule.may_go_to(tx, e))
-                 and (not cold.cold(e, now) or cold.credit(e, now, e.scale / size))]
-        if len(ready) < 2:
-            return ready[0] if ready else None
-        k = self.chance.below(len(ready))
-        a = ready[k]
-        b = ready[(k + 1 + self.chance.below(len(ready) - 1)) % len(ready)]
+        a = self._draw(group, tx, now, None)
+        b = a and self._draw(group, tx, now, a)
+        if not a or not b:
+            return a
         if a.in_flight * b.scale == b.in_flight * a.scale:
             return a if a.latency <= b.latency else b
         return a if a.in_flight * b.scale < b.in_flight * a.scale else b
 
+    def _draw(self, group: Group, tx: Tx, now: int, but: Endpoint | None) -> Endpoint | None:
+        """One of those open to the transaction, at random: by a few draws; if none meets, the next one on."""
+        n = len(group.use)
+        at = 0
+        for k in range(DRAWS + n):
+            at = self.chance.below(n) if k < DRAWS else (at + 1) % n
+            e = group.use[at]
+            if e is not but and self._open(e, group.size, tx, now):
+                return e
+        return None
+
+    def _open(self, e: Endpoint, size: float, tx: Tx, now: int) -> bool:
+        if e.in_flight >= max(1.0, e.limit * tx.part) or e in tx.hops:
+            return False
+        if tx.anchor is not None and not self.repeat_rule.may_go_to(tx, e):
+            return False
+        return not self.cold_rule.cold(e, now) or self.cold_rule.credit(e, now, e.scale / size)
+
     # What is learned
 
     def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int) -> None:
         if how in SILENT:
             return
+        group = self.groups[e.zone]
+        succeeded = e.succeeds(now)
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
         crowded = took > self.late
@@ -491,14 +550,18 @@
             e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
         e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
+        if e.on and (e.succeeds(now), e.inside) != (succeeded, group.failing or e.aside_us <= now):
+            group.choose(now)
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                e.limit = max(self.floor, e.limit * CUT_SHARE)
-        elif how is Outcome.COMMITTED:
-            group = self.groups[e.zone]
-            if 2 * (sum(o.in_flight for o in group) + 1) >= sum(o.limit for o in group):
-                e.limit += self.growth / e.limit
+                self._set_limit(e, max(self.floor, e.limit * CUT_SHARE))
+        elif how is Outcome.COMMITTED and 2 * (group.in_flight + 1) >= group.limit:
+            self._set_limit(e, e.limit + self.growth / e.limit)
+
+    def _set_limit(self, e: Endpoint, limit: float) -> None:
+        self.groups[e.zone].shift(e, limit - e.limit, 0)
+        e.limit = limit
 
     def _learn_usual(self, now: int, took: float) -> None:
         """Crowding shows against the lowest mean of late: work that varies more needs a wider margin."""
@@ -517,7 +580,7 @@
         of lately gives nothing to compare: the overflow of full endpoints is what makes it heard."""
         means = []
         for zone in self.order:
-            heard = [e.latency for e in self.groups[zone]
+            heard = [e.latency for e in self.groups[zone].all
                      if e.latency and now - e.heard_us <= BUDGET_WINDOW_US]
             means.append(sum(heard) / len(heard) if heard else 0.0)
         best, self.next_zone = min(((m, z) for m, z in zip(means[1:], self.order[1:], strict=True) if m),
@@ -529,18 +592,27 @@
 
     def _wait_ahead(self, tx: Tx) -> float:
         rule = self.cold_rule
-        ahead = sum(other.part >= tx.part for other in self.line)
+        ahead = bisect_right(self.line, -tx.part, key=_by_part)
         return ahead * rule.warm_within_us / max(1.0, rule.carried)
 
     def _serve_line(self, now: int) -> list[Decision]:
+        decided: list[Decision] = []
         # Guards against one at the head hiding others whose time is up: a client's last try may be short.
-        late = [tx for tx in self.line if tx.closed or tx.leave_us <= now]
-        if late:
-            self.line = [tx for tx in self.line if not tx.closed and tx.leave_us > now]
-        decided = [d for tx in late if not tx.closed for d in self._give_up(tx)]
+        if self.line and now >= self.line_due_us:
+            late = [tx for tx in self.line if tx.leave_us <= now]
+            self.line = [tx for tx in self.line if tx.leave_us > now]
+            self.line_due_us = min((tx.leave_us for tx in self.line), default=now)
+            decided = [d for tx in late if not tx.closed for d in self._give_up(tx)]
         while self.line:
-            e = self._pick(self.line[0], now)
-            if e is None:
+            e = None if self.line[0].closed else self._pick(self.line[0], now)
+            if e is not None:
+                decided.append(self._hop(self.line.pop(0), e, now))
+            elif self.line[0].closed:
+                self.line.pop(0)
+            else:
                 break
-            decided.append(self._hop(self.line.pop(0), e, now))
         return decided
+
+
+def _by_part(tx: Tx) -> float:
+    return -tx.part
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -20,6 +20,7 @@
     warm_up(side)
     for e in side.endpoints.values():
         e.good, e.heard_us = (0.0 if others_fail else 1.0), 0
+    side.hear_list(0, [], False)
     tx = side.take(0, profile(), -1, SECOND)
     tx.route(0)
     retried = [what for _, what, *_ in tx.ended(0, 0, how, 1000, False)] == ["hop"]
@@ -43,6 +44,7 @@
     side = sidecar([entry(0), entry(1), entry(2), entry(3, 1), entry(4, 1)])
     for ix in failing:
         side.endpoints[ix].good, side.endpoints[ix].heard_us = 0.0, heard_us
+    side.hear_list(0, [], False)
     sent = [d[2] for _ in range(10) for d in side.take(0, profile(), -1, SECOND).route(0)]
     assert {side.endpoints[ix].zone for ix in sent} == {zone}
 
@@ -77,6 +79,7 @@
     side = sidecar([entry(0)])
     e = side.endpoints[0]
     e.limit = 1.5
+    side.hear_list(0, [], False)
     tx = side.take(0, profile(), -1, 4 * SECOND)
     tx.route(0)
     tx.ended(0, took_us, how, took_us, how is Outcome.COMMITTED)
