Each copy uses a part of each zone, chosen by its place on a ring

Cause: at full size over a hundred copies share an endpoint and hear from it once in several seconds, so limits and the tie by latency hardly learn; an endpoint that crowds is cut by one copy at a time, chokes and stays choked. Endpoints of a zone stand on a ring in an order that all copies share; a copy takes, from a start by its number (golden ratio, so any run of copies is even), so many of those not set aside that its part of the first limits is one hop each, four at least. Up to eight copies an endpoint all are used, so the first three deployments change little.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -11,6 +11,7 @@
   2. waiting line with early rollback        Sidecar.line
   3. members' shares                         Shares
   4. setting aside of unreachable endpoints  Endpoint.aside_us
+  5. a part of each zone for each copy       Group.choose
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
 DOOR_COPIES = 3.0  # at the door growth slows by copies beyond these, as each sees but its part of late hops
+LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
 FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
@@ -41,7 +43,7 @@
 DRAWS = 8  # at random for an endpoint that is open, before those beside it are gone through
 MEMORY = 8  # outcomes that an endpoint's averages look back on
 Decision = tuple["Tx", str, int, int]
-Entry = tuple[int, int, int, float, bool, int]  # endpoint, zone, cell, scale, on, started
+Entry = tuple[int, int, int, float, bool, int, int]  # endpoint, zone, cell, scale, on, started, place
 
 
 class Outcome(Enum):
@@ -104,8 +106,9 @@
     scale: float = 1.0
     on: bool = False
     started_us: int = 0
+    place: int = 0  # on the ring of its zone, the same at every copy
     in_flight: int = 0
-    limit: float = 1.0  # of own hops in flight; below one, the sum over the group still binds
+    limit: float = 0.0  # of own hops in flight; below one, the sum over the group still binds
     cut_us: int = 0
     latency: float = 0.0  # of committed hops, in service goals
     good: float = 1.0  # share of hops that the endpoint did not fail
@@ -124,9 +127,11 @@
     """The endpoints of one zone, and the part of them in use, with sums kept as they change. Guards against
     work that grows with the fleet at every transaction: nothing here is walked on the way of one."""
 
-    def __init__(self) -> None:
-        self.all: list[Endpoint] = []
-        self.use: list[Endpoint] = []  # all but those set aside
+    def __init__(self, all_of_it: list[Endpoint], start: int, wanted: int) -> None:
+        self.all = sorted(all_of_it, key=lambda e: e.place)
+        self.start = start * len(self.all) >> 32
+        self.wanted = min(wanted, len(self.all))
+        self.use: list[Endpoint] = []
         self.back_us = 0  # the first of those set aside returns then
         self.size = self.limit = 0.0  # sums over those in use
         self.in_flight = 0
@@ -134,15 +139,24 @@
         self.failing = False  # more than half of them
 
     def choose(self, now: int) -> None:
-        """To be called where an endpoint comes, goes, is set aside, fails or recovers, and now and then."""
+        """To be called where an endpoint comes, goes, is set aside, fails or recovers, and now and then: from
+        this copy's start along the ring, so many as are wanted of those not set aside."""
         for e in self.use:
             e.inside = False
-        self.use = [e for e in self.all if e.aside_us <= now]
-        self.back_us = min((e.aside_us for e in self.all if e.aside_us > now), default=1 << 62)
-        self.failed = sum(not e.succeeds(now) for e in self.all)
-        self.failing = 2 * self.failed > len(self.all)
+        self.use, self.back_us, self.failed = [], 1 << 62, 0
+        met = []
+        for e in self.all[self.start:] + self.all[:self.start]:
+            if len(self.use) >= self.wanted:
+                break
+            met.append(e)
+            self.failed += not e.succeeds(now)
+            if e.aside_us <= now:
+                self.use.append(e)
+            else:
+                self.back_us = min(self.back_us, e.aside_us)
+        self.failing = 2 * self.failed > len(met)
         if self.failing:  # tried last, but tried
-            self.use = list(self.all)
+            self.use = met
         for e in self.use:
             e.inside = True
         self.size = sum(e.scale for e in self.use)
@@ -327,10 +341,10 @@
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
                  at_door: bool, round_us: int, connect_timeout_us: int, come_back_us: int,
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
-                 shares: Shares, copies: int, now: int) -> None:
+                 shares: Shares, copies: int, number: int, now: int) -> None:
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
-        self.groups = [Group() for _ in range(zones)]
+        self.groups = [Group([], 0, 0) for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
         self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
@@ -346,12 +360,8 @@
         self.cold_rule = cold_rule
         self.shares = shares
         self.copies = copies
+        self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
         self.at_door = at_door
-        # By one over all copies. Guards against many at the door that grow at once while a late hop cuts for
-        # one alone; behind it a transaction turned away wastes the work above, so limits stay loose there.
-        # Likewise the floor: one hop over all copies at the door, the first limit behind it.
-        self.floor = (1.0 if at_door else FIRST_LIMIT) / copies
-        self.growth = (DOOR_COPIES / copies if at_door else 1.0) / copies
         self.budget = RetryBudget()
         self.line: list[Tx] = []  # best earners first
         self.line_due_us = now  # the first leaves it then, if not before
@@ -367,16 +377,16 @@
         if answer:  # Guards against taking the stale list of a start for one: drains go unheard.
             self.asking.heard(now, False)
         named = []
-        for ix, zone, cell, scale, on, started_us in entries:
+        for ix, zone, cell, scale, on, started_us, place in entries:
             e = self.endpoints.get(ix)
             if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
                 flying = e.in_flight if e else 0
                 e = self.endpoints[ix] = e or Endpoint(ix)
                 e.started_us, e.latency, e.good, e.aside_us = started_us, 0.0, 1.0, 0
-                e.limit = FIRST_LIMIT / self.copies
+                e.limit = 0.0
                 # Guards against all copies spending a first hop at once on a start they all hear of.
                 e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
-            e.zone, e.cell, e.scale, e.on = zone, cell, max(scale, 1e-9), on
+            e.zone, e.cell, e.scale, e.on, e.place = zone, cell, max(scale, 1e-9), on, place
             if zone not in self.order:
                 self.order.append(zone)
             named.append(ix)
@@ -384,13 +394,22 @@
             kept = dict.fromkeys(named)
             for e in self.endpoints.values():
                 e.on = e.on and e.ix in kept
-        self.groups = [Group() for _ in self.order]
+        zoned: list[list[Endpoint]] = [[] for _ in self.order]
         for e in self.endpoints.values():
             if e.on:
-                self.groups[e.zone].all.append(e)
+                zoned[e.zone].append(e)
+        # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
+        wanted = max(LEAST_PART, -int(-FIRST_LIMIT * sum(len(z) for z in zoned) // self.copies))
+        self.groups = [Group(z, self.start, wanted) for z in zoned]
         for group in self.groups:
+            for e in group.all:
+                e.limit = e.limit or FIRST_LIMIT / self._sharers(group)
             group.choose(now)
 
+    def _sharers(self, group: Group) -> float:
+        """How many copies use an endpoint of the group, if all use so many of it."""
+        return self.copies * group.wanted / len(group.all)
+
     def list_failed(self, now: int) -> None:
         self.asking.heard(now, True)
 
@@ -512,11 +531,12 @@
 
     def _draw(self, group: Group, tx: Tx, now: int, but: Endpoint | None) -> Endpoint | None:
         """One of those open to the transaction, at random: by a few draws; if none meets, the next one on."""
-        n = len(group.use)
+        among = group.use if tx.anchor is None else group.all  # a repeat may be bound to a few of them
+        n = len(among)
         at = 0
         for k in range(DRAWS + n):
             at = self.chance.below(n) if k < DRAWS else (at + 1) % n
-            e = group.use[at]
+            e = among[at]
             if e is not but and self._open(e, group.size, tx, now):
                 return e
         return None
@@ -524,7 +544,7 @@
     def _open(self, e: Endpoint, size: float, tx: Tx, now: int) -> bool:
         if e.in_flight >= max(1.0, e.limit * tx.part) or e in tx.hops:
             return False
-        if tx.anchor is not None and not self.repeat_rule.may_go_to(tx, e):
+        if tx.anchor is not None and (e.aside_us > now or not self.repeat_rule.may_go_to(tx, e)):
             return False
         return not self.cold_rule.cold(e, now) or self.cold_rule.credit(e, now, e.scale / size)
 
@@ -534,7 +554,7 @@
         if how in SILENT:
             return
         group = self.groups[e.zone]
-        succeeded = e.succeeds(now)
+        was = e.succeeds(now), e.aside_us > now
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
         crowded = took > self.late
@@ -550,14 +570,18 @@
             e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
         e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
-        if e.on and (e.succeeds(now), e.inside) != (succeeded, group.failing or e.aside_us <= now):
+        if e.on and was != (e.succeeds(now), e.aside_us > now):
             group.choose(now)
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                self._set_limit(e, max(self.floor, e.limit * CUT_SHARE))
+                floor = (1.0 if self.at_door else FIRST_LIMIT) / self._sharers(group)
+                self._set_limit(e, max(floor, e.limit * CUT_SHARE))
         elif how is Outcome.COMMITTED and 2 * (group.in_flight + 1) >= group.limit:
-            self._set_limit(e, e.limit + self.growth / e.limit)
+            # By one over all copies. Guards against many at the door that grow at once while a late hop cuts
+            # for one alone; behind it a transaction turned away wastes the work above, so limits stay loose.
+            sharers = self._sharers(group)
+            self._set_limit(e, e.limit + (DOOR_COPIES / sharers if self.at_door else 1.0) / sharers / e.limit)
 
     def _set_limit(self, e: Endpoint, limit: float) -> None:
         self.groups[e.zone].shift(e, limit - e.limit, 0)
--- a/cressrail/wirehost/host.py
+++ b/cressrail/wirehost/host.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Callable
 from typing import TextIO
+from zlib import crc32
 
 from cressrail import brain
 from cressrail.wirehost import codec, outfit
 from cressrail.wirehost.codec import Fields, Message, Unreadable
 
-Row = tuple[str, str, int, float, bool, bool, int]  # address, zone, cell, scale, on, gone, started
+# address, zone, cell, scale, on, gone, started, place
+Row = tuple[str, str, int, float, bool, bool, int, int]
 Book = dict[int, list[Row]]  # the numbered lists
 
 STATES = {"on": (True, False), "fading": (False, False), "off": (False, True)}
@@ -82,11 +84,11 @@
         if slot not in book:
             raise Unreadable(line, f"slot {slot} holds no list")
         entries = []
-        for address, zone, cell, scale, on, gone, started_us in book[slot]:
+        for address, zone, cell, scale, on, gone, started_us, place in book[slot]:
             ix = self.indices.get(address) if gone else self.index(address)
             if ix is not None:  # one that is gone before it was ever named says nothing
                 zone_ix = self.zones.setdefault(zone, len(self.zones))
-                entries.append((ix, zone_ix, cell, scale, on, started_us))
+                entries.append((ix, zone_ix, cell, scale, on, started_us, place))
         self.sidecar.hear_list(now, entries, full=form != "D", answer=form != "C")
         return []
 
@@ -212,10 +214,11 @@
             if state not in STATES:
                 raise Unreadable(at, f"condition is none of on, fading, off: '{state[:40]}'")
             on, gone = STATES[state]
-            rows.append((codec.text(at, item, "endpoint"), item.get("failure_domain", ""),
+            address = codec.text(at, item, "endpoint")
+            rows.append((address, item.get("failure_domain", ""),
                          codec.number(at, item, "unit_group", absent=0),
                          codec.ratio(at, item, "scale", 1.0), on, gone,
-                         codec.number(at, item, "boot_time_us", absent=0)))
+                         codec.number(at, item, "boot_time_us", absent=0), crc32(address.encode())))
         if len(rows) != count:
             raise Unreadable(line, f"INVENTORY names {count} entries, {len(rows)} ITEM lines follow")
         self.book[slot] = rows
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -119,4 +119,4 @@
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
                            now),
         shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
-        copies=copies, now=now)
+        copies=copies, number=told.whole("slot_no", 0, absent=0), now=now)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,7 @@
 
 
 def entry(ix: int, zone: int = 0, cell: int = 0, on: bool = True, started_us: int = 0) -> Entry:
-    return (ix, zone, cell, 1.0, on, started_us)
+    return (ix, zone, cell, 1.0, on, started_us, ix)
 
 
 def sidecar(fleet: list[Entry], **parts: Any) -> Sidecar:
@@ -34,7 +34,7 @@
         chance=chance, zone=0, zones=2, tiers_to_go=1.0, last_tier=True, at_door=True, round_us=5000,
         connect_timeout_us=SECOND // 4, come_back_us=0, may_cancel=True, asking=Asking(False, 0, chance),
         repeat_rule=RepeatRule(3, False), cold_rule=ColdRule(0.2, 10 * SECOND, 0), shares=Shares([], 1, 0.1),
-        copies=1, now=0)
+        copies=1, number=0, now=0)
     side = Sidecar(**{**told, **parts})
     side.hear_list(0, fleet, True)
     return side
