--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -33,9 +33,10 @@
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
-DOOR_COPIES = 3.0  # at the door growth slows by copies beyond these, as each sees but its part of late hops
+DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
+INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
-FIRST_LIMIT = 8.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
+FIRST_LIMIT = 6.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
 SPILL_STEP, SPILL_MOST = 1 / 16, 1 / 2  # by which the spilled share moves a second, and its bound
@@ -133,6 +134,7 @@
         self.start = start * len(self.all) >> 32
         self.wanted = min(wanted, len(self.all))
         self.use: list[Endpoint] = []
+        self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
         self.back_us = 0  # the first of those set aside returns then
         self.size = self.limit = 0.0  # sums over those in use
         self.in_flight = 0
@@ -410,15 +412,15 @@
         # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
         wanted = max(LEAST_PART, -int(-FIRST_LIMIT * sum(len(z) for z in zoned) // self.copies))
         self.groups = [Group(z, self.start, wanted) for z in zoned]
-        for group in self.groups:
+        for zone, group in enumerate(self.groups):
+            # How many copies use an endpoint, if all use so many; of the own zone only its own copies. Guards
+            # against traffic that sits in one zone being held to the limits of an even spread.
+            among = sum(len(z) for z in zoned) if zone == self.order[0] else len(group.all)
+            group.sharers = self.copies * group.wanted / max(1, among)
             for e in group.all:
-                e.limit = e.limit or FIRST_LIMIT / self._sharers(group)
+                e.limit = e.limit or FIRST_LIMIT / group.sharers
             group.choose(now)
 
-    def _sharers(self, group: Group) -> float:
-        """How many copies use an endpoint of the group, if all use so many of it."""
-        return self.copies * group.wanted / len(group.all)
-
     def list_failed(self, now: int) -> None:
         self.asking.heard(now, True)
 
@@ -588,13 +590,14 @@
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                floor = (1.0 if self.at_door else FIRST_LIMIT) / self._sharers(group)
+                # Behind the door a transaction turned away wastes the work above, so limits stay loose.
+                floor = (1.0 if self.at_door else FIRST_LIMIT) / group.sharers
                 self._set_limit(e, max(floor, e.limit * CUT_SHARE))
         elif how is Outcome.COMMITTED and 2 * (group.in_flight + 1) >= group.limit:
             # By one over all copies. Guards against many at the door that grow at once while a late hop cuts
-            # for one alone; behind it a transaction turned away wastes the work above, so limits stay loose.
-            sharers = self._sharers(group)
-            self._set_limit(e, e.limit + (DOOR_COPIES / sharers if self.at_door else 1.0) / sharers / e.limit)
+            # for one alone, and against tiers behind it that outgrow what a choked fleet recovers from.
+            growth = DOOR_COPIES / group.sharers if self.at_door else INNER_GROWTH
+            self._set_limit(e, e.limit + growth / group.sharers / e.limit)
 
     def _set_limit(self, e: Endpoint, limit: float) -> None:
         self.groups[e.zone].shift(e, limit - e.limit, 0)
