Thin views: a floor of one hop for the whole copy, and what a hop tells goes to all in use

Now only a copy with nothing out is sure of a hop, and as far as a limit lies under one hop, growth and cuts go to all endpoints in use.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -531,10 +531,11 @@
         return None
 
     def _pick_in(self, group: Group, tx: Tx, now: int) -> Endpoint | None:
-        # Guards against a floor of one hop from each of many copies, which alone can crowd an endpoint. Of a
-        # part between whole hops, what is above is open to so many of the transactions, by their luck: else
-        # where limits are thin surplus has as much of them as any.
-        if not group.use or group.in_flight + 1 > tx.part * max(1.0, group.limit) + tx.luck:
+        # A copy with nothing out may send one. Guards against that floor for each zone of many copies, which
+        # alone crowds endpoints. Of a part between whole hops, what is above is open to so many of the
+        # transactions, by their luck: else where limits are thin surplus has as much of them as any.
+        limit = group.limit if any(g.in_flight for g in self.groups) else max(1.0, group.limit)
+        if not group.use or group.in_flight + 1 > tx.part * limit + tx.luck:
             return None
         a = self._draw(group, tx, now, None)
         b = a and self._draw(group, tx, now, a)
@@ -590,18 +591,23 @@
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                # Behind the door a transaction turned away wastes the work above, so limits stay loose.
-                floor = (1.0 if self.at_door else FIRST_LIMIT) / group.sharers
-                self._set_limit(e, max(floor, e.limit * CUT_SHARE))
+                self._scale_limit(group, e, CUT_SHARE)
         elif how is Outcome.COMMITTED and 2 * (group.in_flight + 1) >= group.limit:
             # By one over all copies. Guards against many at the door that grow at once while a late hop cuts
             # for one alone, and against tiers behind it that outgrow what a choked fleet recovers from.
             growth = DOOR_COPIES / group.sharers if self.at_door else INNER_GROWTH
-            self._set_limit(e, e.limit + growth / group.sharers / e.limit)
-
-    def _set_limit(self, e: Endpoint, limit: float) -> None:
-        self.groups[e.zone].shift(e, limit - e.limit, 0)
-        e.limit = limit
+            self._scale_limit(group, e, 1 + growth / group.sharers / e.limit**2)
+
+    def _scale_limit(self, group: Group, e: Endpoint, by: float) -> None:
+        """What a hop tells of its endpoint it tells of all in use, as far as this copy's limit there is under
+        one hop. Guards against views so thin that limits stay where they began."""
+        # Behind the door a transaction turned away wastes the work above, so limits stay loose there.
+        floor = (1.0 if self.at_door else FIRST_LIMIT) / group.sharers
+        shared = max(0.0, 1 - e.limit)
+        for other in group.use if shared and e.inside else [e]:
+            limit = max(floor, other.limit * (by if other is e else 1 + (by - 1) * shared))
+            group.shift(other, limit - other.limit, 0)
+            other.limit = limit
 
     def _learn_usual(self, now: int, took: float) -> None:
         """Crowding shows against the lowest mean of late: work that varies more needs a wider margin."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -148,6 +148,32 @@
     assert side.endpoints[0].limit == own and (other is None or side.endpoints[1].limit == other)
 
 
+@pytest.mark.parametrize("how, took_us, limit, told", [
+    (Outcome.TIMED_OUT, SECOND, 2.0, 0.0), (Outcome.TIMED_OUT, SECOND, 1.0, 0.0),
+    (Outcome.TIMED_OUT, SECOND, 0.5, 0.5), (Outcome.TIMED_OUT, SECOND, 0.1, 0.9),
+    (Outcome.COMMITTED, 1000, 0.5, 0.5), (Outcome.COMMITTED, 1000, 0.1, 0.9)])
+def test_what_a_hop_tells_goes_to_all_in_use_where_limits_are_thin(
+        how: Outcome, took_us: int, limit: float, told: float) -> None:
+    side = sidecar([entry(n) for n in range(4)], copies=300)
+    for e in side.endpoints.values():
+        e.limit = limit
+    side.hear_list(0, [], False)
+    tx = side.take(0, profile(), -1, 4 * SECOND)
+    at = tx.route(0)[0][2]
+    tx.ended(0, took_us, how, took_us, True)
+    own, other = (side.endpoints[ix].limit / limit - 1 for ix in (at, (at + 1) % 4))
+    assert own and other == pytest.approx(told * own)
+
+
+@pytest.mark.parametrize("out, zones_used", [(1, 1), (2, 1), (6, 1)])
+def test_only_a_copy_with_nothing_out_is_sure_of_a_hop(out: int, zones_used: int) -> None:
+    side = sidecar([entry(n, n % 2) for n in range(8)], copies=300)
+    for e in side.endpoints.values():
+        e.limit = 0.0
+    txs = [side.take(0, profile(), -1, SECOND) for _ in range(out)]
+    assert sum(d[1] == "hop" for tx in txs for d in tx.route(0)) == zones_used
+
+
 @pytest.mark.parametrize("gone", range(0, 20, 3))
 def test_a_part_changes_by_little_when_the_list_changes_by_one(gone: int) -> None:
     for number in range(30):
