--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -407,6 +407,7 @@
                 e.on = e.on and e.ix in kept
         zoned: list[list[Endpoint]] = [[] for _ in self.order]
         for e in self.endpoints.values():
+            e.inside = False  # also for those that have left: their hops still end
             if e.on:
                 zoned[e.zone].append(e)
         # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
@@ -586,7 +587,9 @@
             e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
         e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
-        if e.on and was != (e.succeeds(now), e.aside_us > now):
+        if not e.on:
+            return  # Guards against a hop that ends after its endpoint, or its whole zone, has left the list.
+        if was != (e.succeeds(now), e.aside_us > now):
             group.choose(now)
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,6 +88,19 @@
     assert sent and set(sent) == {1}
 
 
+@pytest.mark.parametrize("how", list(Outcome))
+@pytest.mark.parametrize("told", [[], [entry(0, on=False)], [entry(0, on=False, started_us=9)],
+                                  [entry(0, 1), entry(1)], [entry(0, started_us=9)]])
+def test_a_hop_may_end_after_its_endpoint_has_left_or_moved(how: Outcome, told: list[Entry]) -> None:
+    side = sidecar([entry(0)], copies=50)
+    tx = side.take(0, profile(), -1, 4 * SECOND)
+    tx.route(0)
+    side.hear_list(10, told, True)
+    tx.ended(0, 3 * SECOND, how, 3 * SECOND, how is Outcome.COMMITTED)
+    assert side.endpoints[0].in_flight == 0 and not tx.out
+    assert all(g.in_flight == sum(e.in_flight for e in g.use) for g in side.groups)
+
+
 @pytest.mark.parametrize("age_s, most", [(0, 3), (5, 8), (9, 11)])
 def test_a_cold_endpoint_gets_its_part_of_what_a_warm_one_gets(age_s: int, most: int) -> None:
     side = sidecar([entry(0), entry(1)], cold_rule=ColdRule(0.2, 10 * SECOND, 0))
