--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -28,7 +28,7 @@
 
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
-LATE_SHARE = 0.6  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
+LATE_SHARE = 0.8  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
 LATE_SWINGS = 2.0  # then a hop is late that takes so many mean swings more than is usual
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
