--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -261,20 +261,34 @@
         # A second's worth at most. Guards against a share so thin at one copy that chance alone exceeds it.
         self.most = [max(SHARE_DEPTH, r * 1e6) for r in self.rates]
         self.credit = self.most[:]
-        self.filled_us = [0] * len(self.rates)
+        self.filled_us = [0] * len(self.rates)  # on the shares' own clock
+        self.total = sum(self.rates)
+        self.clock_us = self.seen_us = self.short_us = self.sends = 0
 
     def surplus(self, member: int, now: int) -> bool:
+        run = now - self.seen_us
+        if now < self.short_us and self.total:
+            # Guards against a large member that fills what is left of a choked tier with its whole allowance:
+            # where those within their share are turned away, shares fill up by what is sent, not by time.
+            run = min(run, int(self.sends / self.total))
+        self.clock_us += run
+        self.seen_us, self.sends = now, 0
         if not 0 <= member < len(self.rates):
             return False
-        have = self.credit[member] + self.rates[member] * (now - self.filled_us[member])
-        self.filled_us[member] = now
+        have = self.credit[member] + self.rates[member] * (self.clock_us - self.filled_us[member])
+        self.filled_us[member] = self.clock_us
         self.credit[member] = min(self.most[member], have)
         return have < 1
 
-    def sent(self, member: int) -> None:
+    def sent(self, member: int, surplus: bool) -> None:
         """Guards against clients' repeats of what was turned away using up a share."""
+        self.sends += 1
         if 0 <= member < len(self.rates):
-            self.credit[member] -= 1
+            self.credit[member] -= not surplus
+
+    def turned_away(self, goal_us: int) -> None:
+        """One within its share was; capacity is short for a while."""
+        self.short_us = self.seen_us + goal_us
 
 
 class Asking:
@@ -495,6 +509,8 @@
 
     def _give_up(self, tx: Tx) -> list[Decision]:
         tx.closed = True
+        if not tx.hops and not tx.surplus:
+            self.shares.turned_away(tx.profile.service_goal_us)
         if self.repeat_rule.may_roll_back(tx):
             return [(tx, ROLLED_BACK, 0, min(self.come_back_us, tx.profile.service_goal_us // LINE_PARTS))]
         return [(tx, ABANDONED, 0, 0)]
@@ -502,8 +518,8 @@
     def _hop(self, tx: Tx, e: Endpoint, now: int) -> Decision:
         if self.cold_rule.cold(e, now):
             e.cold_credit -= 1
-        if not tx.hops and not tx.surplus:
-            self.shares.sent(tx.member)
+        if not tx.hops:
+            self.shares.sent(tx.member, tx.surplus)
         e.in_flight += 1
         self.groups[e.zone].shift(e, 0.0, 1)
         tx.out[len(tx.hops)] = now
@@ -514,20 +530,12 @@
         order = self.order
         if self.next_zone >= 0 and self.spill and self.chance.part() < self.spill:
             order = [self.next_zone, *(z for z in order if z != self.next_zone)]
-        failing = []
-        for zone in order:
-            group = self.groups[zone]
+        groups = [self.groups[zone] for zone in order]
+        for group in groups:
             if now >= group.back_us:
                 group.choose(now)
-            if group.failing:
-                failing.append(group)
-                continue
-            e = self._pick_in(group, tx, now)
-            if e is not None:
-                return e
-        for group in failing:
-            e = self._pick_in(group, tx, now)
-            if e is not None:
+        for group in sorted(groups, key=lambda g: g.failing):  # those that fail last, rather than not at all
+            if (e := self._pick_in(group, tx, now)) is not None:
                 return e
         return None
 
@@ -574,14 +582,12 @@
         was = e.succeeds(now), e.aside_us > now
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
-        crowded = took > self.late
+        crowded = took > self.late or how is Outcome.TURNED_AWAY
         if how is Outcome.COMMITTED:
             self.cold_rule.carry(now)
             self._learn_usual(now, took)
             e.latency += (took - e.latency) / MEMORY if e.latency else took
             e.aside_us = e.aside_runs = 0
-        else:
-            crowded = crowded or how is Outcome.TURNED_AWAY
         if how in OWNED:  # Guards against an endpoint that turns away at once and so draws all first tries.
             e.aside_runs = min(e.aside_runs + 1, 5)
             e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -95,7 +95,7 @@
         beyond = shares.surplus(0, n * SECOND // rate)
         marked += beyond
         if sent and not beyond:
-            shares.sent(0)
+            shares.sent(0, False)
     assert abs(marked - surplus) <= 1
 
 
@@ -104,7 +104,20 @@
     shares = Shares([20.0], copies, 0.1)
     for _ in range(4):
         assert not shares.surplus(0, 0)
-        shares.sent(0)
+        shares.sent(0, False)
+
+
+@pytest.mark.parametrize("short, marked", [(False, 0), (True, 100)])
+def test_where_capacity_is_short_shares_fill_by_what_is_sent(short: bool, marked: int) -> None:
+    shares = Shares([50.0, 50.0], 1, 0.1)
+    beyond = 0
+    for n in range(400):  # the first member alone sends, at a fifth of the whole allowance
+        if short:
+            shares.turned_away(SECOND)
+        mark = shares.surplus(0, n * SECOND // 20)
+        shares.sent(0, mark)
+        beyond += mark
+    assert beyond >= marked if short else beyond == 0
 
 
 @pytest.mark.parametrize("earns, least, most", [(1.0, 200, 200), (0.0, 70, 130)])
