--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -581,7 +581,7 @@
         was = e.succeeds(now), e.aside_us > now
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
-        # An error of a tier that calls on: guards against first tries that keep pouring into what chokes below.
+        # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
         below = how is Outcome.ERROR and not self.last_tier
         crowded = took > self.late or how is Outcome.TURNED_AWAY or below
         if how is Outcome.COMMITTED:
