Setting aside is removed; a part skips endpoints that fail

Limits already cut at endpoints that turn away, and parts leave out those that fail by the same measure by which traffic leaves a zone, so one state is kept in place of two.

Endpoints that turned away were left alone for up to 8 s, which starved chains behind the door: errors above, cuts above.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -10,8 +10,7 @@
   1. in-flight limit of each endpoint        Endpoint.limit: grows by one, is cut by a share
   2. waiting line with early rollback        Sidecar.line
   3. members' shares                         Shares
-  4. setting aside of unreachable endpoints  Endpoint.aside_us
-  5. a part of each zone for each copy       Group.choose
+  4. a part of each zone for each copy       Group.choose
 """
 
 from __future__ import annotations
@@ -115,8 +114,6 @@
     latency: float = 0.0  # of committed hops, in service goals
     good: float = 1.0  # share of hops that the endpoint did not fail
     heard_us: int = -1
-    aside_us: int = 0  # gets no ordinary hop before then
-    aside_runs: int = 0
     inside: bool = False  # of the part of its group that is in use
     cold_credit: float = 0.0
     cold_us: int = 0
@@ -135,27 +132,25 @@
         self.wanted = min(wanted, len(self.all))
         self.use: list[Endpoint] = []
         self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
-        self.back_us = 0  # the first of those set aside returns then
         self.size = self.limit = 0.0  # sums over those in use
         self.in_flight = self.failed = 0
         self.failing = False  # more than half of them
 
     def choose(self, now: int) -> None:
-        """To be called where an endpoint comes, goes, is set aside, fails or recovers, and now and then: from
-        this copy's start along the ring, so many as are wanted of those not set aside."""
+        """To be called where an endpoint comes, goes, fails or recovers, and now and then: from this copy's
+        start along the ring, so many as are wanted of those that succeed."""
         for e in self.use:
             e.inside = False
-        self.use, self.back_us, self.failed = [], 1 << 62, 0
+        self.use, self.failed = [], 0
         met = []
         for e in self.all[self.start:] + self.all[:self.start]:
             if len(self.use) >= self.wanted:
                 break
             met.append(e)
-            self.failed += not e.succeeds(now)
-            if e.aside_us <= now:
+            if e.succeeds(now):
                 self.use.append(e)
             else:
-                self.back_us = min(self.back_us, e.aside_us)
+                self.failed += 1
         self.failing = 2 * self.failed > len(met)
         if self.failing:  # tried last, but tried
             self.use = met
@@ -363,7 +358,7 @@
 
 class Sidecar:
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
-                 at_door: bool, round_us: int, connect_timeout_us: int, come_back_us: int,
+                 at_door: bool, round_us: int, come_back_us: int,
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
                  shares: Shares, copies: int, number: int, now: int) -> None:
         self.chance = chance
@@ -376,7 +371,6 @@
         self.heard = 0
         self.last_tier = last_tier
         self.round_us = round_us
-        self.connect_timeout_us = connect_timeout_us
         self.come_back_us = come_back_us
         self.may_cancel = may_cancel
         self.asking = asking
@@ -406,7 +400,7 @@
             if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
                 flying = e.in_flight if e else 0
                 e = self.endpoints[ix] = e or Endpoint(ix)
-                e.started_us, e.latency, e.good, e.aside_us = started_us, 0.0, 1.0, 0
+                e.started_us, e.latency, e.good = started_us, 0.0, 1.0
                 e.limit = 0.0
                 # Guards against all copies spending a first hop at once on a start they all hear of.
                 e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
@@ -529,11 +523,8 @@
         order = self.order
         if self.next_zone >= 0 and self.spill and self.chance.part() < self.spill:
             order = [self.next_zone, *(z for z in order if z != self.next_zone)]
-        groups = [self.groups[zone] for zone in order]
-        for group in groups:
-            if now >= group.back_us:
-                group.choose(now)
-        for group in sorted(groups, key=lambda g: g.failing):  # those that fail last, rather than not at all
+        # Those that fail are tried last, rather than not at all.
+        for group in sorted((self.groups[zone] for zone in order), key=lambda g: g.failing):
             if (e := self._pick_in(group, tx, now)) is not None:
                 return e
         return None
@@ -568,7 +559,7 @@
     def _open(self, e: Endpoint, size: float, tx: Tx, now: int) -> bool:
         if e.in_flight >= max(1.0, e.limit * tx.part) or e in tx.hops:
             return False
-        if tx.anchor is not None and (e.aside_us > now or not self.repeat_rule.may_go_to(tx, e)):
+        if tx.anchor is not None and not self.repeat_rule.may_go_to(tx, e):
             return False
         return not self.cold_rule.cold(e, now) or self.cold_rule.credit(e, now, e.scale / size)
 
@@ -578,7 +569,7 @@
         if how in SILENT:
             return
         group = self.groups[e.zone]
-        was = e.succeeds(now), e.aside_us > now
+        was = e.succeeds(now)
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
@@ -588,15 +579,11 @@
             self.cold_rule.carry(now)
             self._learn_usual(now, took)
             e.latency += (took - e.latency) / MEMORY if e.latency else took
-            e.aside_us = e.aside_runs = 0
-        if how in OWNED:  # Guards against an endpoint that turns away at once and so draws all first tries.
-            e.aside_runs = min(e.aside_runs + 1, 5)
-            e.aside_us = now + (self.connect_timeout_us << e.aside_runs)
         failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
         e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
         if not e.on:
             return  # Guards against a hop that ends after its endpoint, or its whole zone, has left the list.
-        if was != (e.succeeds(now), e.aside_us > now):
+        if was is not e.succeeds(now):
             group.choose(now)
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
--- a/cressrail/wirehost/outfit.py
+++ b/cressrail/wirehost/outfit.py
@@ -111,7 +111,6 @@
         chance=chance, zone=zones.index(told.word("zone")), zones=len(zones),
         tiers_to_go=(len(tiers) - stage) / len(tiers), last_tier=stage == len(tiers) - 1, at_door=stage == 0,
         round_us=told.whole("round_us", 1),
-        connect_timeout_us=told.whole("limits.connect_timeout_us", 1),
         come_back_us=told.whole("limits.max_retry_after_us", 0) if told.yes("limits.retry_after") else 0,
         may_cancel=told.yes("limits.may_cancel"),
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,7 @@
     chance = Chance(7)
     told: dict[str, Any] = dict(
         chance=chance, zone=0, zones=2, tiers_to_go=1.0, last_tier=True, at_door=True, round_us=5000,
-        connect_timeout_us=SECOND // 4, come_back_us=0, may_cancel=True, asking=Asking(False, 0, chance),
+        come_back_us=0, may_cancel=True, asking=Asking(False, 0, chance),
         repeat_rule=RepeatRule(3, False), cold_rule=ColdRule(0.2, 10 * SECOND, 0), shares=Shares([], 1, 0.1),
         copies=1, number=0, now=0)
     side = Sidecar(**{**told, **parts})
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -148,7 +148,7 @@
     side = sidecar([entry(n) for n in range(20)], copies=copies)
     before = side.groups[0].use[:]
     assert len(before) == used
-    before[0].aside_us = SECOND
+    before[0].good, before[0].heard_us = 0.0, 0
     side.groups[0].choose(0)
     after = side.groups[0].use
     assert set(before[1:]) <= set(after) and before[0] not in after and len(after) == min(used, 19)
