SIGHUP reads the configuration again and moves the watch to the discovery it names

Ruled out: the file itself; the program had not read it. With a handler alone the watch would have gone on asking the old address, which closes; and a new agent counts revisions anew, so that news with a lower revision was dropped and drains went unheard. At fault: sockets/signals.py heard SIGTERM and SIGINT only; sockets/watch.py held one address for good; reducer.news dropped lower revisions. Now: the file is read and tried as at a start, kept if unusable (one log line); an address that the file words anew stands above the environment; the whole list is asked for at a start, at a new address and where revisions fall.

--- a/cressrail/cli/launch.py
+++ b/cressrail/cli/launch.py
@@ -10,13 +10,14 @@
 
 
 def launch(config: str) -> int:
+    from cressrail.sockets.reread import Reread
     from cressrail.sockets.serve import assemble, run
 
     try:
         start = read_start(config)
         with under(f"{config}: settings."):
             net, _ = assemble(start)
-        return run(net)
+        return run(net, Reread(config, start))
     except Unfit as fault:
         print(f"cressrail: {fault}", file=sys.stderr)
         return 2
@@ -29,9 +30,7 @@
     try:
         start = read_start(config)
         with under(f"{config}: settings."):
-            profiles, members = parts.profiles(start.told), parts.members(start.told)
-            parts.waits(start.told)
-            parts.sidecar(start.told, start.seed, 0, start.told.names("dcs"), list(members.values()))
+            profiles, members = parts.tried(start.told, start.seed)
     except Unfit as fault:
         print(f"cressrail: {fault}", file=sys.stderr)
         return 2
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -54,6 +54,14 @@
     return told.whole("limits.connect_timeout_us", 1), told.whole("limits.conn_idle_us", 1)
 
 
+def tried(told: Told, seed: int) -> tuple[dict[str, Profile], dict[str, float]]:
+    """Raises `Unfit` for settings of which no sidecar can be made; its profiles and members otherwise."""
+    allowances = members(told)
+    waits(told)
+    sidecar(told, seed, 0, told.names("dcs"), list(allowances.values()))
+    return profiles(told), allowances
+
+
 def sidecar(told: Told, seed: int, now: int, zones: list[str], allowances: list[float]) -> Sidecar:
     if told.word("zone") not in zones:
         raise Unfit(f"zone is not one of dcs: {told.word('zone')[:40]}")
--- a/cressrail/outfit/start.py
+++ b/cressrail/outfit/start.py
@@ -18,11 +18,13 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    filed: str  # discovery as the file words it; the environment may stand above it
     seed: int
     memory_mb: float
     sockets: int
     known: News
     told: Told
+    around: Told  # what stands beside the settings
 
 
 def read_start(path: str, env: Mapping[str, str] = os.environ) -> Start:
@@ -40,6 +42,26 @@
         return read_config(config, env)
 
 
+def read_again(path: str, before: Start, env: Mapping[str, str] = os.environ) -> Start:
+    """The same file later on. An address of discovery that it has changed is newer than the environment."""
+    start = read_start(path, env)
+    if start.filed in ("", before.filed):
+        start.discovery, start.filed = before.discovery, before.filed
+    else:
+        with under(f"{path}: "):
+            start.discovery = _address("discovery", start.filed)
+    return start
+
+
+def differing(before: Start, after: Start) -> list[str]:
+    """Paths of what takes a new start to be followed."""
+    found = []
+    for at, a, b in (("", before.around, after.around), ("settings.", before.told, after.told)):
+        paths = {**a.pairs, **b.pairs}
+        found += [at + path for path in paths if a.pairs.get(path) != b.pairs.get(path)]
+    return [path for path in found if path not in ("seed", "discovery")]
+
+
 def read_config(config: dict[str, Any], env: Mapping[str, str]) -> Start:
     told = Told.nested({key: value for key, value in config.items() if key not in ("settings", "known")})
     settings = config.get("settings")
@@ -59,7 +81,8 @@
         listen=_address("listen", env.get("BALANCER_LISTEN") or told.word("listen")),
         discovery=_address("discovery", env.get("BALANCER_DISCOVERY") or told.word("discovery")),
         seed=number, memory_mb=told.real("limits.memory_mb", 32, 1e9),
-        sockets=told.whole("limits.sockets", 32), known=known, told=Told.nested(settings))
+        sockets=told.whole("limits.sockets", 32), known=known, told=Told.nested(settings), around=told,
+        filed=told.pairs.get("discovery", ""))
 
 
 def _address(path: str, text: str) -> tuple[str, int]:
--- /dev/null
+++ b/cressrail/sockets/reread.py
@@ -0,0 +1,33 @@
+"""The configuration's file read again, as SIGHUP asks."""
+
+from __future__ import annotations
+
+from cressrail.outfit import parts
+from cressrail.outfit.start import Start, differing, read_again
+from cressrail.outfit.told import Unfit, under
+from cressrail.sockets.net import Net
+
+NAMED = 8  # of the paths that a new start would follow
+
+
+class Reread:
+    """Holds what was read last; a file that cannot be used leaves it as it was."""
+
+    def __init__(self, path: str, start: Start) -> None:
+        self.path = path
+        self.start = start
+
+    def now(self, net: Net) -> None:
+        try:
+            start = read_again(self.path, self.start)
+            with under(f"{self.path}: settings."):
+                parts.tried(start.told, start.seed)
+        except Unfit as fault:
+            net.log.note("config_kept", {"why": str(fault)})
+            return
+        waiting = differing(self.start, start)
+        net.log.note("config", {"discovery": ":".join(map(str, start.discovery)),
+                                "needs_restart": waiting[:NAMED], "more": len(waiting[NAMED:])})
+        # What takes a new start stays named at each reading until there was one.
+        self.start.discovery, self.start.filed = start.discovery, start.filed
+        net.tell(net.reducer.discovery_moved(net.now(), start.discovery))
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -15,7 +15,8 @@
 from cressrail.sockets import listener
 from cressrail.sockets.link import LinkTask
 from cressrail.sockets.net import Net
-from cressrail.sockets.signals import stop_on_signal
+from cressrail.sockets.reread import Reread
+from cressrail.sockets.signals import heed_signals
 from cressrail.sockets.waker import wake_task
 from cressrail.sockets.watch import WatchTask
 from cressrail.traffic.reducer import Reducer, Room
@@ -46,24 +47,26 @@
     sidecar = parts.sidecar(start.told, start.seed, now, list(roster.zones), list(members.values()))
     reducer = Reducer(sidecar, profiles, {member: n for n, member in enumerate(members)}, roster,
                       room(start.sockets), Chance(start.seed ^ 1), now,
-                      longest_us := max(p.hard_limit_us for p in profiles.values()))
+                      longest_us := max(p.hard_limit_us for p in profiles.values()), start.discovery)
     pool = Pool(int(start.memory_mb * BUFFERS_SHARE * (1 << 20)) // SIZE)
     connect_us, idle_us = parts.waits(start.told)
     net = Net(loop, pool, reducer, log, connect_us=connect_us, idle_us=idle_us, patience_us=longest_us)
     door = listener.ListenerTask(net, listener.bind(*start.listen))
     net.start_link = lambda number: LinkTask(net, number).run
-    net.watch = loop.spawn(WatchTask(net, *start.discovery).run, first=True)
+    net.watch = loop.spawn(WatchTask(net).run, first=True)
     net.listener = loop.spawn(door.run)
     net.waker = loop.spawn(lambda: wake_task(net))
-    log.note("start", {"listen": ":".join(map(str, start.listen)), "stage": start.told.whole("stage", 0),
+    log.note("start", {"listen": ":".join(map(str, start.listen)),
+                       "discovery": ":".join(map(str, start.discovery)),
+                       "stage": start.told.whole("stage", 0),
                        "known": len(start.known.rows), "clients": reducer.room.clients,
                        "links": reducer.room.links})
     net.tell(reducer.start(now, start.known))
     return net, door
 
 
-def run(net: Net) -> int:
-    with stop_on_signal(net):
+def run(net: Net, reread: Reread) -> int:
+    with heed_signals(net, reread):
         gc.collect()
         gc.freeze()  # what is here stays; later collections look at what is new
         net.loop.run()
--- a/cressrail/sockets/signals.py
+++ b/cressrail/sockets/signals.py
@@ -1,4 +1,4 @@
-"""SIGTERM and SIGINT ask for a stop."""
+"""SIGTERM and SIGINT ask for a stop, SIGHUP for the configuration to be read again."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 
 from cressrail.loop.scheduler import READ
 from cressrail.sockets.net import Net
+from cressrail.sockets.reread import Reread
 
 
 @contextmanager
-def stop_on_signal(net: Net) -> Iterator[None]:
+def heed_signals(net: Net, reread: Reread) -> Iterator[None]:
     """While in here. A signal ends no poll by itself, so it comes as a byte on a socket that is polled."""
     woken, waking = socket.socketpair()
     woken.setblocking(False)
@@ -21,11 +22,14 @@
     def task() -> None:
         while True:
             net.loop.wait(woken.fileno(), READ)
-            woken.recv(64)
-            net.tell(net.reducer.stop(net.now()))
+            heard = woken.recv(64)  # a byte for each signal, its number
+            if signal.SIGHUP in heard:
+                reread.now(net)
+            if signal.SIGTERM in heard or signal.SIGINT in heard:
+                net.tell(net.reducer.stop(net.now()))
 
     signal.set_wakeup_fd(waking.fileno(), warn_on_full_buffer=False)
-    for name in (signal.SIGTERM, signal.SIGINT):
+    for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(name, lambda *_: None)
     net.loop.spawn(task)
     try:
--- a/cressrail/traffic/effects.py
+++ b/cressrail/traffic/effects.py
@@ -63,10 +63,11 @@
 
 
 class Watch(NamedTuple):
-    """The changes of the list after a revision."""
+    """The list at an address of discovery, its changes after a revision; the whole of it first if -1."""
 
     after: int
     at_us: int
+    source: tuple[str, int]
 
 
 class Wake(NamedTuple):
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -75,7 +75,8 @@
 
 class Reducer:
     def __init__(self, sidecar: Sidecar, profiles: dict[str, Profile], members: dict[str, int],
-                 roster: Roster, room: Room, chance: Chance, now: int, longest_us: int) -> None:
+                 roster: Roster, room: Room, chance: Chance, now: int, longest_us: int,
+                 discovery: tuple[str, int]) -> None:
         self.sidecar = sidecar
         self.profiles = profiles
         self.members = members
@@ -92,7 +93,9 @@
         self.links: dict[int, Link] = {}
         self.idle_links: dict[int, None] = {}  # the longest idle first
         self.numbers = 0
+        self.discovery = discovery
         self.revision = 0
+        self.anew = True  # the whole list is asked for, as its source may count revisions otherwise
         self.heard_news = False
         self.watch_fails = 0
         self.listening = True
@@ -108,14 +111,18 @@
         self.revision = known.revision
         entries, _ = self.roster.heard(known)
         self.sidecar.hear_list(now, entries, full=True, answer=False)
-        return self._out(now, [do.Listen(True), do.Watch(self.revision, now)])
+        return self._out(now, [do.Listen(True), self._watch(now)])
 
     def news(self, now: int, news: News) -> list[Effect]:
         out: list[Effect] = [do.Note("junk", {"from": "discovery", "what": what}) for what in news.faults[:3]]
         self.watch_fails = 0
         first, self.heard_news = not self.heard_news, True
-        if not news.full and news.revision < self.revision:
-            return [*out, do.Note("list", {"revision": news.revision, "older_than": self.revision})]
+        if not news.full and not self.anew and news.revision < self.revision:
+            # Guards against drains unheard where discovery has begun to count anew.
+            self.anew = True
+            return [*out, do.Note("list", {"revision": news.revision, "older_than": self.revision}),
+                    self._watch(now)]
+        self.anew = self.anew and not news.full
         self.revision = news.revision
         entries, stale = self.roster.heard(news)
         if entries or news.full or first:
@@ -131,7 +138,16 @@
         self.watch_fails += 1
         pause = pause // 2 + self.chance.below(pause)
         return self._out(now, [do.Note("watch_lost", {"why": why, "again_in_us": pause}),
-                               do.Watch(self.revision, now + pause)])
+                               self._watch(now + pause)])
+
+    def discovery_moved(self, now: int, discovery: tuple[str, int]) -> list[Effect]:
+        if discovery == self.discovery:
+            return []
+        self.discovery, self.anew, self.watch_fails = discovery, True, 0
+        return self._out(now, [self._watch(now)])
+
+    def _watch(self, at_us: int) -> do.Watch:
+        return do.Watch(-1 if self.anew else self.revision, at_us, self.discovery)
 
     # Clients
 
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -67,9 +67,14 @@
     def do_GET(self) -> None:
         at = int(self.path.partition("after=")[2] or 0)
         self.send_response(200)
+        line = LISTING.since(at)
+        if "watch=1" not in self.path:
+            self.send_header("Content-Length", str(len(line)))
+            self.end_headers()
+            self.wfile.write(line)
+            return
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        line = LISTING.since(at)
         while True:
             self.wfile.write(b"%x\r\n%b\r\n" % (len(line), line))
             at = LISTING.revision
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -226,6 +226,9 @@
 
     def watch(peer: Peer) -> None:
         asks.append(peer.hear().partition(b"\r\n")[0])
+        if b"watch" not in asks[-1]:
+            peer.say(reply(line(4, full=True)))
+            asks[-1] = peer.hear().partition(b"\r\n")[0]
         peer.say(HEAD + b"transfer-encoding: chunked\r\n\r\n")
         if len(asks) == 1:
             peer.say(chunk(line(5)) + chunk(b"\n") + chunk(b"{nonsense\n"))
@@ -238,9 +241,9 @@
 
     play = Play([serving(reply())], watch)
 
-    def line(revision: int, **change: Any) -> bytes:
+    def line(revision: int, full: bool = False, **change: Any) -> bytes:
         entry = member("s0", play.ports[0], **change)
-        return json.dumps({"revision": revision, "complete": False, "members": [entry]}).encode() + b"\n"
+        return json.dumps({"revision": revision, "complete": full, "members": [entry]}).encode() + b"\n"
 
     def client(peer: Peer) -> None:
         def serves_meanwhile() -> bool:
@@ -492,6 +495,67 @@
         assert events[-1] == "end" and "stopping" in events
 
 
+def agent(revision: int, members: list[dict[str, Any]]) -> bytes:
+    return reply(json.dumps({"revision": revision, "complete": True, "members": members}).encode())
+
+
+def test_sighup_reads_the_file_again_and_the_watch_moves_with_nothing_disturbed(tmp_path: Path) -> None:
+    """In flight meanwhile: a hop to the endpoint that the new address, which counts anew, no longer lists."""
+    names = ("door", "old", "new", "endpoint")
+    doors = {name: socket.create_server(("127.0.0.1", 0)) for name in names}
+    at = {name: f"127.0.0.1:{sock.getsockname()[1]}" for name, sock in doors.items()}
+    doors.pop("door").close()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**CONFIG, "listen": at["door"], "discovery": at["old"]}))
+
+    def heard(sock: socket.socket, end: bytes = b"\r\n\r\n") -> bytes:
+        text = b""
+        while end not in text and (more := sock.recv(4096)):
+            text += more
+        return text
+
+    def watched(name: str, text: bytes) -> socket.socket:
+        sock, _ = doors[name].accept()
+        assert b"GET /catalog/members HTTP" in heard(sock)
+        sock.sendall(text)
+        asked = heard(sock)
+        sock.sendall(HEAD + b"transfer-encoding: chunked\r\n\r\n" + chunk(b"\n"))
+        assert b"watch=1&after=%d " % json.loads(text.partition(b"\r\n\r\n")[2])["revision"] in asked
+        return sock
+
+    env = {**os.environ, "BALANCER_DISCOVERY": at["old"]}  # stands above the file until that changes
+    with subprocess.Popen([sys.executable, "-m", "cressrail", "serve", str(path)], env=env,
+                          stdout=subprocess.PIPE) as program:
+        assert program.stdout is not None
+        said = (json.loads(line) for line in program.stdout)
+
+        def until(event: str) -> dict[str, Any]:
+            return next(line for line in said if line["event"] == event)
+
+        until("start")
+        old = watched("old", agent(70, [member("s0", doors["endpoint"].getsockname()[1])]))
+        until("list")
+        with socket.create_connection(("127.0.0.1", int(at["door"].split(":")[1]))) as client:
+            client.sendall(ask())
+            endpoint, _ = doors["endpoint"].accept()
+            heard(endpoint)
+            path.write_text("{")
+            program.send_signal(signal.SIGHUP)
+            assert str(path) in until("config_kept")["why"]
+            later = {**CONFIG, "name": "n2", "listen": at["door"], "discovery": at["new"]}
+            path.write_text(json.dumps(later))
+            program.send_signal(signal.SIGHUP)
+            assert until("config")["needs_restart"] == ["name"]
+            new = watched("new", agent(3, [member("s1", 9)]))
+            assert until("list")["revision"] == 3 and old.recv(9) == b""
+            endpoint.sendall(reply(b"hello"))
+            assert b"200 OK" in heard(client, b"hello")
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(30) == 0
+    for sock in [old, new, endpoint, *doors.values()]:
+        sock.close()
+
+
 def test_an_address_that_is_taken_is_named(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = f"127.0.0.1:{server.getsockname()[1]}"
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -30,7 +30,8 @@
         roster, members = Roster(["a", "b"]), parts.members(start.told)
         self.reducer = Reducer(
             parts.sidecar(start.told, 5, 0, ["a", "b"], list(members.values())), parts.profiles(start.told),
-            dict.fromkeys(members, 0), roster, Room(clients, 2, links), Chance(5), 0, SECOND)
+            dict.fromkeys(members, 0), roster, Room(clients, 2, links), Chance(5), 0, SECOND,
+            start.discovery)
         self.pool = Pool(100)
         self.told: list[Effect] = self.reducer.start(0, start.known)
 
@@ -163,6 +164,7 @@
     (news(3, True), [])])
 def test_the_list_is_kept_and_changed(update: News, entries: list[int]) -> None:
     front = Front(2)
+    front.reducer.news(0, news(4, True, member("s0", 9000), member("s1", 9001)))
     front.reducer.news(1, update)
     assert [e.ix for e in front.reducer.sidecar.endpoints.values() if e.on] == entries
 
@@ -291,7 +293,9 @@
 
 def test_the_watch_is_asked_for_again_with_a_growing_pause_from_the_last_revision() -> None:
     front = Front()
-    front.reducer.news(0, news(9, False))
+    [watch] = front.all(do.Watch)
+    assert watch.after == -1
+    front.reducer.news(0, news(9, True))
     waits = []
     for _ in range(8):
         front.told = front.reducer.watch_ended(SECOND, "ended")
@@ -302,6 +306,10 @@
     front.reducer.news(0, news(9, False))
     front.told = front.reducer.watch_ended(SECOND, "ended")
     assert front.all(do.Watch)[0].at_us < SECOND + 100_000
+    front.told = front.reducer.news(0, news(3, False))  # discovery may count anew: drains must not go unheard
+    assert front.all(do.Watch)[0].after == -1
+    front.reducer.news(0, news(3, True))
+    assert front.reducer.revision == 3
 
 
 def test_a_stop_answers_while_clients_come_then_closes_between_requests_and_ends() -> None:
