An id is one open request's; what endpoints reject is the request's fault, no endpoint's

A probe that logged their fields showed well-formed requests with the Req-Id of another client's open request. Ruled out: framing; both lengths at once never went on. At fault: reducer.request_came took any id; link._answer made every 4xx an error of the endpoint, so that its good share fell and the retry budget was spent; a deadline beyond the hard limit was believed; repeated Req-* fields and a Connection that names one went on. Now: 400 at the door for an id that waits for an answer elsewhere here; an endpoint's 4xx (but 408, 429) is the outcome rejected, which says nothing of the endpoint, is not retried and is passed on as 400; the hard limit bounds what a client may ask; such fields are 400.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -58,11 +58,12 @@
     DROPPED = "dropped"
     CALLED_OFF = "called off"
     NEVER_SENT = "never sent"
+    REJECTED = "rejected"  # for what the request is, which is not the endpoint's fault
 
 
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.NEVER_SENT)
 OWNED = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.DROPPED)
-SILENT = (Outcome.CALLED_OFF, Outcome.NEVER_SENT)  # say nothing about the endpoint
+SILENT = (Outcome.CALLED_OFF, Outcome.NEVER_SENT, Outcome.REJECTED)  # say nothing about the endpoint
 
 
 class Chance:
--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -9,6 +9,7 @@
 from cressrail.http1 import body as bodies
 from cressrail.http1.head import BY_HOP, TOKEN, Fields, Malformed, length, split_head, values, words
 
+ONCE = (b"req-", b"idempotency-key", b"host")  # fields that say which request it is, and so on
 TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 
 
@@ -70,7 +71,11 @@
             raise Malformed(400, "first line that is none")
         if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
             raise Malformed(400, "neither HTTP/1.1 nor HTTP/1.0")
+        named = [name for name, _ in fields if name.startswith(ONCE)]
         options = words(fields, b"connection")
+        # Guards against an endpoint that reads another request than the one decided on.
+        if len(named) > len(set(named)) or any(word.startswith(ONCE) for word in options):
+            raise Malformed(400, "fields that may be read in two ways")
         keep = b"close" not in options and (parts[2] == b"HTTP/1.1" or b"keep-alive" in options)
         self._head = Request(parts[0], parts[1], fields, self.chain, keep)
         size, codings = length(fields), words(fields, b"transfer-encoding")
--- a/cressrail/sockets/link.py
+++ b/cressrail/sockets/link.py
@@ -139,7 +139,10 @@
         if reader.status == 200:
             return End(Outcome.COMMITTED, keep=keep)
         declined = reader.status in (503, 504) and reader.get(b"srv-declined") == b"1"
-        return End(Outcome.TURNED_AWAY if declined else Outcome.ERROR, f"status {reader.status}", keep)
+        # Guards against endpoints left out, and retries spent, for what bad clients send.
+        rejected = 400 <= reader.status < 500 and reader.status not in (408, 429)
+        how = (Outcome.TURNED_AWAY if declined else Outcome.REJECTED if rejected else Outcome.ERROR)
+        return End(how, f"status {reader.status}", keep)
 
     def _close(self) -> None:
         if self.stream is not None:
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -45,6 +45,7 @@
     request: Request
     hops: dict[int, int] = field(default_factory=dict)  # the transaction's numbers to this process's
     sent: int = 0
+    rejected: bool = False
 
 
 @dataclass(slots=True)
@@ -89,6 +90,7 @@
         self.idle_clients: dict[int, None] = {}  # the longest idle first
         self.fresh_clients: dict[int, int] = {}  # new, or amid sending a request, and since when
         self.txs: dict[Tx, Held] = {}
+        self.open_ids: dict[str, int] = {}  # of the requests that wait for an answer, and whose they are
         self.hops: dict[int, Hop] = {}
         self.links: dict[int, Link] = {}
         self.idle_links: dict[int, None] = {}  # the longest idle first
@@ -180,11 +182,13 @@
             return self._reply(now, client, 404, request.body)
         profile = self.profiles.get(kind or "")
         span = request.get(b"req-deadline")
-        if profile is None or not request.get(b"req-id"):
+        name = request.get(b"req-id")
+        if profile is None or not name:
             return self._reply(now, client, 400, request.body)
         limit_us = span_us(span) if span is not None else profile.hard_limit_us
-        if limit_us is None:
+        if limit_us is None or name in self.open_ids:  # an id is of one request only
             return self._reply(now, client, 400, request.body)
+        limit_us = min(limit_us, profile.hard_limit_us)
         if held.surplus:
             return [do.Note("no_room", {"side": "clients", "open": len(self.clients)}),
                     *self._reply(now, client, 503, request.body)]
@@ -195,6 +199,7 @@
         tx = self.sidecar.take(now, profile, member, max(0, limit_us - (now - arrived_us)))
         held.tx = tx
         self.txs[tx] = Held(client, request)
+        self.open_ids[name] = client
         return self._out(now, self._decided(now, tx.route(now)))
 
     def request_junk(self, now: int, client: int, status: int, why: str) -> list[Effect]:
@@ -217,6 +222,7 @@
         self.fresh_clients.pop(client, None)
         out: list[Effect] = []
         if held.tx is not None and not held.tx.closed:
+            self._shut_id(held.tx)
             out = self._decided(now, held.tx.vanished())
             out += self._release(held.tx)
         return self._out(now, out)
@@ -247,6 +253,7 @@
             out.append(do.Note("hop", {"tx": held.request.get(b"req-id"), "how": how.value, "why": why,
                                        "endpoint": self.roster.addresses[ended.endpoint].name,
                                        "us": now - ended.sent_us}))
+        held.rejected = how is Outcome.REJECTED
         out += self._decided(now, tx.ended(ended.number, now, how, now - ended.sent_us, complete))
         return self._out(now, [*out, *self._release(tx)])
 
@@ -327,8 +334,12 @@
         client = self.txs[tx].client
         held = self.clients[client]
         held.tx = None
+        self._shut_id(tx)
         return [do.Write(client, answer, self._last(held))]
 
+    def _shut_id(self, tx: Tx) -> None:
+        del self.open_ids[self.txs[tx].request.get(b"req-id") or ""]
+
     def _decided(self, now: int, decisions: list[Decision]) -> list[Effect]:
         out: list[Effect] = []
         left = deque(decisions)
@@ -353,7 +364,7 @@
                 if hop in self.hops:
                     out.append(do.CallOff(self.hops[hop].link, hop))
             else:
-                status = 503 if what == brain.ROLLED_BACK else 502
+                status = 400 if held.rejected else 503 if what == brain.ROLLED_BACK else 502
                 out += self._answer(tx, Answer(status, come_back_us=us))
                 out.append(do.Note(what.replace(" ", "_"), {
                     "tx": held.request.get(b"req-id"), "profile": held.request.get(b"req-kind"),
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -97,6 +97,8 @@
     (b"GET /a HTTP/1.1\r\n folded: x\r\n\r\n", 400), (b"GET /a HTTP/1.1\r\nname : x\r\n\r\n", 400),
     (b"GET /a HTTP/1.1\r\na: b\x00c\r\n\r\n", 400), (b"GET /a HTTP/1.1\r\na: b\nc: d\r\n\r\n", 400),
     (b"POST /a HTTP/1.1\r\ncontent-length: x\r\n\r\n", 400),
+    (b"GET /a HTTP/1.1\r\nreq-id: 1\r\nReq-Id: 2\r\n\r\n", 400),
+    (b"GET /a HTTP/1.1\r\nreq-id: 1\r\nconnection: keep-alive, Req-Id\r\n\r\n", 400),
     (b"POST /a HTTP/1.1\r\ncontent-length: -1\r\n\r\n", 400),
     (b"POST /a HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n", 400),
     (b"POST /a HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n", 400),
