Endpoints that have left are forgotten once no hop to them is out

Seen in the source: Roster.addresses, Roster.indices and Sidecar.endpoints only grew; each news walked all that were ever named; an endpoint that a whole list no longer named kept its idle links. At fault: roster.heard and brain.hear_list, with no place where an endpoint is given back. Now: reducer._forget is that place, called at the news and at the end of a hop; indices are never used twice, so an address under a new id starts with no link, limit or blame. The test replaces an endpoint 43 times at one address.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -433,6 +433,10 @@
                 e.limit = e.limit or FIRST_LIMIT / group.sharers
             group.choose(now)
 
+    def forget(self, ix: int) -> None:
+        """It has left the list, and no hop to it is out."""
+        del self.endpoints[ix]
+
     def list_failed(self, now: int) -> None:
         self.asking.heard(now, True)
 
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -111,7 +111,7 @@
 
     def start(self, now: int, known: News) -> list[Effect]:
         self.revision = known.revision
-        entries, _ = self.roster.heard(known)
+        entries, _, _ = self.roster.heard(known)
         self.sidecar.hear_list(now, entries, full=True, answer=False)
         return self._out(now, [do.Listen(True), self._watch(now)])
 
@@ -126,12 +126,14 @@
                     self._watch(now)]
         self.anew = self.anew and not news.full
         self.revision = news.revision
-        entries, stale = self.roster.heard(news)
+        entries, stale, gone = self.roster.heard(news)
         if entries or news.full or first:
             self.sidecar.hear_list(now, entries, full=news.full)
             out.append(do.Note("list", {"revision": news.revision, "full": news.full,
                                         "entries": len(entries)}))
         out += [do.Drop(link) for link in stale if self._claim(link)]
+        for ix in gone:
+            self._forget(ix)
         return self._out(now, out)
 
     def watch_ended(self, now: int, why: str) -> list[Effect]:
@@ -255,6 +257,7 @@
                                        "us": now - ended.sent_us}))
         held.rejected = how is Outcome.REJECTED
         out += self._decided(now, tx.ended(ended.number, now, how, now - ended.sent_us, complete))
+        self._forget(ended.endpoint)
         return self._out(now, [*out, *self._release(tx)])
 
     def link_reset(self, now: int, link: int) -> list[Effect]:
@@ -311,13 +314,21 @@
 
     def _died(self, now: int, link: Link) -> list[Effect]:
         """The process that a link was for is gone, unless a later one is listed by now."""
-        at = self.roster.addresses[link.endpoint]
-        if (at.host, at.port, at.row.started_us) != (link.host, link.port, link.started_us):
+        at = self.roster.addresses.get(link.endpoint)
+        if at is None or (at.host, at.port, at.row.started_us) != (link.host, link.port, link.started_us):
             return []
         known = now < self.sidecar.endpoints[link.endpoint].dead_us
         self.sidecar.died(now, link.endpoint)
         return [] if known else [do.Note("died", {"endpoint": at.name})]
 
+    def _forget(self, endpoint: int) -> None:
+        """All that is kept of one that has left, once no hop to it is out. Guards against a list that grows
+        with every replacement."""
+        at = self.roster.addresses.get(endpoint)
+        if at is not None and at.row.gone and not self.sidecar.endpoints[endpoint].in_flight:
+            self.roster.forget(endpoint)
+            self.sidecar.forget(endpoint)
+
     def _close_us(self) -> int:
         quiet_us = max(self.stop_us + STOP_LEAST_US, self.quiet_us + STOP_QUIET_US)
         return min(quiet_us, self.stop_us + STOP_MOST_US)
--- a/cressrail/traffic/roster.py
+++ b/cressrail/traffic/roster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from zlib import crc32
 
 from cressrail.brain import Entry
@@ -24,19 +24,22 @@
     def __init__(self, zones: list[str]) -> None:
         self.zones = {zone: n for n, zone in enumerate(zones)}
         self.indices: dict[str, int] = {}
-        self.addresses: list[Address] = []
+        self.addresses: dict[int, Address] = {}
+        self.numbers = 0
 
-    def heard(self, news: News) -> tuple[list[Entry], list[int]]:
-        """The entries for the module, and the connections to addresses that are no longer used."""
-        entries, stale = [], []
+    def heard(self, news: News) -> tuple[list[Entry], list[int], list[int]]:
+        """The entries for the module, the connections to addresses that are no longer used, and those who
+        have left."""
+        entries, stale, left = [], [], []
         kept = [self.addresses[self.indices[name]].row for name in news.kept if name in self.indices]
         for row in [*news.rows, *kept]:
             ix = self.indices.get(row.name)
             if ix is None:
                 if row.gone:  # one that is gone before it was ever named says nothing
                     continue
-                ix = self.indices[row.name] = len(self.addresses)
-                self.addresses.append(Address(row.name, row.host, row.port, row))
+                ix = self.indices[row.name] = self.numbers
+                self.numbers += 1
+                self.addresses[ix] = Address(row.name, row.host, row.port, row)
             at = self.addresses[ix]
             moved = (at.host, at.port) != (row.host, row.port) and not row.gone
             if moved or row.gone or at.row.started_us != row.started_us:
@@ -46,4 +49,16 @@
             at.row = row
             zone = self.zones.setdefault(row.zone, len(self.zones))
             entries.append((ix, zone, row.cell, row.scale, row.on, row.started_us, crc32(row.name.encode())))
-        return entries, stale
+            if row.gone:
+                left.append(ix)
+        if news.full:
+            named = {row.name for row in [*news.rows, *kept]}
+            for ix, at in self.addresses.items():
+                if at.name not in named:
+                    at.row = replace(at.row, on=False, gone=True)
+                    stale += at.idle
+                    left.append(ix)
+        return entries, stale, left
+
+    def forget(self, ix: int) -> None:
+        del self.indices[self.addresses.pop(ix).name]
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -224,6 +224,35 @@
     assert (third := front.hop()).fresh and third.port == 9500
 
 
+def test_one_that_has_left_is_forgotten_once_no_hop_to_it_is_out() -> None:
+    front = Front(1)
+    front.came(1)
+    front.ask(1)
+    hop = front.hop()
+    front.told += front.reducer.news(0, news(5, False, member("s0", 9000, phase="removed")))
+    assert 0 in front.reducer.sidecar.endpoints
+    front.told += front.reducer.news(0, news(6, False, member("t0", 9000)))  # its address under a new id
+    front.end(hop, Outcome.COMMITTED)
+    assert front.all(do.Drop) == [do.Drop(hop.link)] and not front.reducer.link_reset(0, hop.link)
+    front.reducer.link_left(hop.link)
+    for k in range(7, 50):
+        front.rest(k)
+        front.ask(k)
+        later = front.hop()
+        assert later.fresh
+        front.end(later, Outcome.COMMITTED)
+        front.told += front.reducer.news(0, news(k, k % 2 == 0, member(f"t{k}", 9000), *(
+            [member(f"t{k - 1}" if k > 7 else "t0", 9000, phase="removed")] if k % 2 else [])))
+        assert front.all(do.Drop) == [do.Drop(later.link)]
+        front.told += front.reducer.client_left(0, k)
+        front.told += front.reducer.link_left(later.link)
+        front.settle()
+        front.all(do.Write)
+    reducer = front.reducer
+    assert len(reducer.sidecar.endpoints) == len(reducer.roster.addresses) == len(reducer.roster.indices) == 1
+    assert len(reducer.links) == len(reducer.open_ids) == len(reducer.txs) == len(reducer.hops) == 0
+
+
 @pytest.mark.parametrize("change, died", [
     ({}, True), ({"up_since_ms": 5}, False), ({"host_port": "127.0.0.1:9999"}, False)])
 def test_a_reset_at_rest_tells_of_the_process_that_the_link_was_made_to(
