A time-out that hops sent later have overtaken no longer cuts its endpoint's limit

Checked: logs by two seconds; the rollbacks begin with the first time-outs (9.5 s), on all four endpoints alike. Ruled out: inner tiers (two errors in all), CPU, descriptors. At fault: brain._judge cut a limit by a quarter for each time-out, also where the endpoint had meanwhile answered hops sent later, in time, which no crowding explains. Now: such a hop cuts nothing; it still counts as failed. A time-out with nothing later answered in time cuts as before.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -114,6 +114,7 @@
     in_flight: int = 0
     limit: float = 0.0  # of own hops in flight; below one, the sum over the group still binds
     cut_us: int = 0
+    prompt_us: int = -1  # when the latest of those hops was sent that were answered in time
     latency: float = 0.0  # of committed hops, in service goals
     good: float = 1.0  # share of hops that the endpoint did not fail
     heard_us: int = -1
@@ -136,8 +137,7 @@
         self.wanted = min(wanted, len(self.all))
         self.use: list[Endpoint] = []
         self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
-        self.size = self.limit = 0.0  # sums over those in use
-        self.in_flight = self.failed = 0
+        self.size, self.limit, self.in_flight, self.failed = 0.0, 0.0, 0, 0  # sums over those in use
         self.failing = False  # more than half of them
 
     def choose(self, now: int) -> None:
@@ -229,8 +229,7 @@
         self.born_us = now
         self.cold_from = cold_from
         self.warm_within_us = warm_within_us
-        self.carried = 0.0  # hops committed, decaying over warm_within_us
-        self.carried_us = 0
+        self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
 
     def carry(self, now: int) -> None:
         self.carried = self.carried * max(0.0, 1 - (now - self.carried_us) / self.warm_within_us) + 1
@@ -371,8 +370,7 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
-        self.usual_us = now
-        self.heard = 0
+        self.usual_us, self.heard = now, 0
         self.last_tier = last_tier
         self.round_us = round_us
         self.come_back_us = come_back_us
@@ -387,8 +385,7 @@
         self.budget = RetryBudget()
         self.line: list[Tx] = []  # best earners first
         self.line_due_us = now  # the first leaves it then, if not before
-        self.spill = 0.0
-        self.next_zone = -1  # the group with the lowest latency after the own
+        self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
         self.spill_us = now
         asking.born(now)
         self.wake_us = now
@@ -404,8 +401,7 @@
             if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
                 flying = e.in_flight if e else 0
                 e = self.endpoints[ix] = e or Endpoint(ix)
-                e.started_us, e.latency, e.good = started_us, 0.0, 1.0
-                e.limit, e.dead_us = 0.0, 0
+                e.started_us, e.latency, e.good, e.limit, e.dead_us = started_us, 0.0, 1.0, 0.0, 0
                 # Guards against all copies spending a first hop at once on a start they all hear of.
                 e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
             e.zone, e.cell, e.scale, e.on, e.place = zone, cell, max(scale, 1e-9), on, place
@@ -588,15 +584,20 @@
         was = e.succeeds(now)
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
+        failed = how not in (Outcome.COMMITTED, Outcome.TURNED_AWAY)
+        e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
         below = how is Outcome.ERROR and not self.last_tier
-        crowded = took > self.late or how is Outcome.TURNED_AWAY or below
+        # No crowding holds a hop that later ones have overtaken. Guards against limits that shrink to nothing
+        # where answers get lost now and then.
+        lost = how is Outcome.TIMED_OUT and e.prompt_us > now - latency_us
+        crowded = (took > self.late and not lost) or how is Outcome.TURNED_AWAY or below
         if how is Outcome.COMMITTED:
             self.cold_rule.carry(now)
             self._learn_usual(now, took)
             e.latency += (took - e.latency) / MEMORY if e.latency else took
-        failed = how is not Outcome.COMMITTED and how is not Outcome.TURNED_AWAY
-        e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
+            if not crowded:
+                e.prompt_us = max(e.prompt_us, now - latency_us)
         if not e.on:
             return  # Guards against a hop that ends after its endpoint, or its whole zone, has left the list.
         if was is not e.succeeds(now):
@@ -650,9 +651,8 @@
             self.spill = max(0.0, self.spill - SPILL_STEP)
 
     def _wait_ahead(self, tx: Tx) -> float:
-        rule = self.cold_rule
         ahead = bisect_right(self.line, -tx.part, key=_by_part)
-        return ahead * rule.warm_within_us / max(1.0, rule.carried)
+        return ahead * self.cold_rule.warm_within_us / max(1.0, self.cold_rule.carried)
 
     def _serve_line(self, now: int) -> list[Decision]:
         decided: list[Decision] = []
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -107,6 +107,20 @@
     assert (e.limit > 1.5) - (e.limit < 1.5) == change and e.limit >= 1
 
 
+@pytest.mark.parametrize("later_took_us, cut", [(SECOND // 10, False), (SECOND * 2, True), (None, True)])
+def test_a_hop_without_answer_that_later_ones_have_overtaken_cuts_no_limit(
+        later_took_us: int | None, cut: bool) -> None:
+    side = sidecar([entry(0)])
+    tx, later = (side.take(at, profile(), -1, 4 * SECOND) for at in (0, 1000))
+    tx.route(0)
+    if later_took_us is not None:
+        later.route(1000)
+        later.ended(0, 1000 + later_took_us, Outcome.COMMITTED, later_took_us, True)
+    limit = side.endpoints[0].limit
+    tx.ended(0, 4 * SECOND, Outcome.TIMED_OUT, 4 * SECOND, False)
+    assert (side.endpoints[0].limit < limit) is cut
+
+
 @pytest.mark.parametrize("last, cut", [(True, False), (False, True)])
 def test_an_error_of_a_tier_that_calls_on_cuts_its_limit(last: bool, cut: bool) -> None:
     side = sidecar([entry(0)], last_tier=last)
