One that fails is tried again after a quarter of the window; few errors cut less

A trace of limits by the second: from 14.9 s to the end one of two endpoints of the hall was left out (good 0.47, under a half, after five errors of the tier below within eight hops), with its limit at half of its peer's, though it answered as well as that; the other carried all. At fault: Endpoint.succeeds left one that fails out for the whole window of 10 s; _judge cut a limit by a quarter for any error of a tier that calls on, also where nearly all answers were good. Now: left out for a quarter of the window, as after a death, then tried; an error cuts by the share of failures of late, whole from a half on.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -44,7 +44,7 @@
 SHARE_DEPTH = 8.0  # transactions of a member within its share that may come at once at the least
 DRAWS = 8  # at random for an endpoint that is open, before those beside it are gone through
 MEMORY = 8  # outcomes that an endpoint's averages look back on
-DEAD_PARTS = 4  # one such part of the budget's window a process that died counts as gone, then it is tried
+LEFT_OUT_US = BUDGET_WINDOW_US // 4  # for so long one that died or fails gets nothing, then it is tried
 Decision = tuple["Tx", str, int, int]
 Entry = tuple[int, int, int, float, bool, int, int]  # endpoint, zone, cell, scale, on, started, place
 
@@ -124,7 +124,7 @@
     cold_us: int = 0
 
     def succeeds(self, now: int) -> bool:
-        return now >= self.dead_us and (self.good >= 0.5 or now - self.heard_us > BUDGET_WINDOW_US)
+        return now >= self.dead_us and (self.good >= 0.5 or now - self.heard_us > LEFT_OUT_US)
 
 
 class Group:
@@ -440,7 +440,7 @@
         """It refuses connections, or reset one on which nothing was out. Guards against first tries at a
         process that is gone, until the list tells."""
         e = self.endpoints[ix]
-        e.dead_us = now + BUDGET_WINDOW_US // DEAD_PARTS
+        e.dead_us = now + LEFT_OUT_US
         if e.on:
             self.groups[e.zone].choose(now)
 
@@ -605,7 +605,8 @@
         if crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
-                self._scale_limit(group, e, CUT_SHARE)
+                # An error among good answers cuts less. Guards against limits that a few spoilt answers cut.
+                self._scale_limit(group, e, CUT_SHARE ** (min(1.0, 2 - 2 * e.good) if below else 1.0))
         elif how is Outcome.COMMITTED and 2 * (group.in_flight + 1) >= group.limit:
             # By one over all copies. Guards against many at the door that grow at once while a late hop cuts
             # for one alone, and against tiers behind it that outgrow what a choked fleet recovers from.
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -121,6 +121,26 @@
     assert (side.endpoints[0].limit < limit) is cut
 
 
+@pytest.mark.parametrize("errors", [1, 2, 8])
+def test_errors_of_tiers_below_cut_by_how_many_of_late_there_were(errors: int) -> None:
+    side = sidecar([entry(0)], last_tier=False)
+    for at in range(errors):
+        tx = side.take(at, profile(), -1, 4 * SECOND)
+        tx.route(at)
+        was = side.endpoints[0].limit
+        tx.ended(0, at, Outcome.ERROR, 0, False)
+    cut = side.endpoints[0].limit / was
+    assert cut > 0.9 if errors == 1 else cut < 0.9
+    assert cut < 0.76 if errors == 8 else cut > 0.76
+
+
+def test_one_that_failed_is_left_out_for_a_while_and_not_for_the_whole_window() -> None:
+    side = sidecar([entry(0), entry(1)])
+    e = side.endpoints[0]
+    e.good, e.heard_us = 0.4, SECOND
+    assert [e.succeeds(at * SECOND) for at in (1, 3, 4)] == [False, False, True]
+
+
 @pytest.mark.parametrize("last, cut", [(True, False), (False, True)])
 def test_an_error_of_a_tier_that_calls_on_cuts_its_limit(last: bool, cut: bool) -> None:
     side = sidecar([entry(0)], last_tier=last)
