--- a/cressrail/http1/body.py
+++ b/cressrail/http1/body.py
@@ -6,7 +6,7 @@
 
 from cressrail.http1.head import Malformed
 
-MOST = 65536  # bytes of a body
+MOST = 65536  # bytes of a request's body
 LINE = 1024  # bytes of a line between chunks
 
 
--- a/cressrail/sockets/link.py
+++ b/cressrail/sockets/link.py
@@ -6,7 +6,6 @@
 
 from cressrail.brain import Outcome
 from cressrail.buffers.pool import Chain, Exhausted
-from cressrail.http1 import body as bodies
 from cressrail.http1.answer import AnswerReader
 from cressrail.http1.head import Malformed
 from cressrail.loop.scheduler import MAIL, READ
@@ -68,7 +67,7 @@
     def _carry(self, job: Carry) -> bool:
         """One hop; true if the connection is fit for another."""
         body, kind = Chain(self.net.pool), b""
-        reader = AnswerReader(body, bodies.MOST, job.request.method == b"HEAD")
+        reader = AnswerReader(body, self.net.answer_most, job.request.method == b"HEAD")
         end = End(Outcome.CALLED_OFF, "fault")
         try:
             end = self._attempt(job, reader)
--- a/cressrail/sockets/net.py
+++ b/cressrail/sockets/net.py
@@ -14,7 +14,7 @@
 
 class Net:
     def __init__(self, loop: Scheduler, pool: Pool, reducer: Reducer, log: Lines, *, connect_us: int,
-                 idle_us: int, patience_us: int) -> None:
+                 idle_us: int, patience_us: int, answer_most: int) -> None:
         self.loop = loop
         self.now = loop.now
         self.pool = pool
@@ -23,6 +23,7 @@
         self.connect_us = connect_us  # for a connection to come up
         self.idle_us = idle_us  # after which an endpoint may close an idle one
         self.patience_us = patience_us  # with a client that sends or reads slowly
+        self.answer_most = answer_most  # bytes of an endpoint's answer
         self.clients: dict[int, Task] = {}
         self.links: dict[int, Task] = {}
         self.listener: Task | None = None
