Silent and halting clients are closed after 2.5 s, also where there is room

At fault: reducer.woke looked at fresh clients only amid a stop, request_began started the time anew, client._read waited patience_us. Now: the first request is due 2.5 s after the connection, a later one 2.5 s after its first byte, then 408, or a close where nothing came. One that has had an answer may rest.

--- a/cressrail/sockets/client.py
+++ b/cressrail/sockets/client.py
@@ -24,6 +24,7 @@
         self.number = number
         self.stream = Stream(net.loop, net.pool, sock)
         self.body: Chain | None = None  # of a request that is not whole yet
+        self.since_us = net.now()  # its first request is due from here; -1 after that: from its own begin
         self.junk = False  # what it sent is not read to its end
 
     def run(self) -> None:
@@ -65,14 +66,15 @@
 
     def _read(self) -> bool:
         """Until a request is whole, or what came is none; false if the connection is over."""
-        stream, reader, until_us, began_us = self.stream, None, NEVER, 0
+        stream, reader, until_us, since_us = self.stream, None, NEVER, self.since_us
         while True:
             if stream.inlet.unread():
                 try:
                     if reader is None:
-                        began_us = self.net.now()
-                        self.net.tell(self.net.reducer.request_began(began_us, self.number))
-                        until_us = began_us + self.net.patience_us
+                        now = self.net.now()
+                        since_us = since_us if since_us >= 0 else now
+                        self.net.tell(self.net.reducer.request_began(now, self.number))
+                        until_us = now + self.net.patience_us
                         self.body = Chain(self.net.pool)
                         reader = RequestReader(self.body)
                     stream.inlet.use(reader.feed(stream.inlet.unread()))
@@ -81,7 +83,7 @@
                 except Exhausted:
                     return self._junk(503, "no buffer left")
                 if reader.whole is not None:
-                    self.body = None  # the reducer's from here on
+                    self.body, self.since_us = None, -1  # the body is the reducer's from here on
                     self.net.tell(self.net.reducer.request_came(
                         self.net.now(), self.number, reader.whole, stream.arrived_us))
                     return True
@@ -104,8 +106,8 @@
                 assert isinstance(task.mail.popleft(), Shut)
                 if reader is None and stream.read() <= 0:
                     return False  # between requests; what has come meanwhile is still answered
-                if reader is not None and self.net.now() - began_us >= FRESH_US:
-                    return self._junk(408, "request long in coming while others wait")
+                if reader is not None and self.net.now() - since_us >= FRESH_US:
+                    return self._junk(408, "request long in coming")
 
     def _junk(self, status: int, why: str) -> bool:
         self.junk = True
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -27,6 +27,7 @@
 AGAIN_US = 50_000  # the first pause before the watch is asked for again; doubles
 AGAIN_DOUBLINGS = 4
 FRESH_US = 1_000_000  # a client may take so long to begin, or to end, a request before it may be closed
+SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
 HEALTH = b"/_health"
 
 
@@ -168,10 +169,10 @@
         return self._out(now, [*out, do.Read(client)])
 
     def request_began(self, now: int, client: int) -> list[Effect]:
-        self.idle_clients.pop(client, None)
-        self.fresh_clients.pop(client, None)
-        self.fresh_clients[client] = now
-        return []
+        if client not in self.fresh_clients:  # its first request is due from when it came
+            self.idle_clients.pop(client, None)
+            self.fresh_clients[client] = now
+        return self._out(now, [])
 
     def request_came(self, now: int, client: int, request: Request, arrived_us: int) -> list[Effect]:
         held = self.clients[client]
@@ -294,9 +295,10 @@
             self.end_us = now + self.longest_us
             out += [do.Listen(False, closed=True), do.Note("closing", {"clients": len(self.clients)})]
             out += [self._shut_idle(client) for client in list(self.idle_clients)]
-        if self.closing:
-            silent = [client for client, came_us in self.fresh_clients.items() if came_us + FRESH_US <= now]
-            out += [self._shut_idle(client) for client in silent]  # also those that never end a request
+        # Guards against those that say nothing, or never end a request, for as long as they like.
+        most_us = FRESH_US if self.closing else SILENT_US
+        silent = [client for client, came_us in self.fresh_clients.items() if came_us + most_us <= now]
+        out += [self._shut_idle(client) for client in silent]
         return self._out(now, out)
 
     def stop(self, now: int) -> list[Effect]:
@@ -452,8 +454,9 @@
             wake_us = min(wake_us, self._close_us())
         elif self.closing:
             wake_us = min(wake_us, self.end_us)
-        if (self.closing or not self.listening) and self.fresh_clients:
-            wake_us = min(wake_us, next(iter(self.fresh_clients.values())) + FRESH_US)
+        if self.fresh_clients:
+            most_us = FRESH_US if self.closing or not self.listening else SILENT_US
+            wake_us = min(wake_us, next(iter(self.fresh_clients.values())) + most_us)
         if wake_us != self.wake_us:
             self.wake_us = wake_us
             out.append(do.Wake(wake_us))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -19,7 +19,9 @@
 
 from cressrail.log.lines import MOST_WAITING, Lines
 from cressrail.loop.scheduler import MAIL, READ, TIMED_OUT, Scheduler
+from cressrail.sockets import client
 from cressrail.sockets.stream import Stream
+from cressrail.traffic import reducer
 from cressrail.traffic.reducer import FRESH_US, Room
 from tests.helpers import CONFIG, Peer, Play, Script, ask, chunk, member, reply
 
@@ -361,6 +363,22 @@
     assert sorted(heard) == [b"200", b"408"]
 
 
+@pytest.mark.parametrize("sent", [b"", b"GET /api HT", b"POST /api HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"])
+def test_silent_and_halting_clients_are_told_or_closed(sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(reducer, "SILENT_US", 20_000)
+    monkeypatch.setattr(client, "FRESH_US", 20_000)
+    heard: list[bytes] = []
+
+    def halts(peer: Peer) -> None:
+        peer.say(sent)
+        heard.append(peer.hear()[9:12])
+
+    play = Play([serving(reply())])
+    play.client(halts)
+    play.run()
+    assert heard == [b"408" if sent else b""]
+
+
 def test_no_descriptor_left_pauses_the_listener_and_no_more() -> None:
     play = Play([serving(reply())])
     real, fails = play.door.sock, [errno.EMFILE, errno.EMFILE]
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -15,7 +15,7 @@
 from cressrail.outfit.start import read_config
 from cressrail.traffic import effects as do
 from cressrail.traffic.effects import Effect
-from cressrail.traffic.reducer import Reducer, Room
+from cressrail.traffic.reducer import SILENT_US, Reducer, Room
 from cressrail.traffic.roster import Roster
 from tests.helpers import CONFIG, SECOND, member
 
@@ -344,6 +344,23 @@
     assert len(front.all(do.Carry)) == 1
 
 
+@pytest.mark.parametrize("began_us", [None, 0, SECOND])
+def test_one_that_says_nothing_or_half_a_request_is_closed_also_where_there_is_room(
+        began_us: int | None) -> None:
+    front = Front()
+    front.rest(1)
+    front.came(2)
+    if began_us is not None:
+        front.reducer.request_began(began_us, 2)
+    front.told = front.reducer.woke(SILENT_US - 1)
+    assert not front.all(do.Shut)
+    front.told = front.reducer.woke(SILENT_US)
+    assert front.all(do.Shut) == [do.Shut(2, True)]  # one that has had an answer may rest
+    front.reducer.request_began(SILENT_US, 1)
+    front.told = front.reducer.woke(2 * SILENT_US)
+    assert front.all(do.Shut) == [do.Shut(1, True)]
+
+
 def test_a_client_that_leaves_calls_its_hop_off_and_what_comes_of_it_is_given_back() -> None:
     front = Front()
     front.came(1)
