In a stop those who are there are served on while others may be restarting

At fault: reducer.woke closed the door and hung up at one time. Now: the door closes as before; clients who are there are served for half of the longest hard limit more, 1.5 s at most, and what they ask for in that time ends 0.2 s before the platform may kill.

--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -23,7 +23,9 @@
 READY_WITHOUT_NEWS_US = 500_000  # a start whose discovery is silent goes by the list it was given
 STOP_LEAST_US = 600_000  # clients still come so long after a stop was asked for,
 STOP_QUIET_US = 300_000  # or so long after the last one came,
-STOP_MOST_US = 700_000  # but no longer than this: what comes later might not be answered before the end
+STOP_MOST_US = 700_000  # but no longer than this
+STOP_KILLED_US = 3_000_000  # the platform kills so long after that, or the longest hard limit if that is less
+STOP_SPARE_US = 200_000  # before that all is to have its answer
 AGAIN_US = 50_000  # the first pause before the watch is asked for again; doubles
 AGAIN_DOUBLINGS = 4
 FRESH_US = 1_000_000  # a client may take so long to begin, or to end, a request before it may be closed
@@ -103,7 +105,9 @@
         self.watch_fails = 0
         self.listening = True
         self.stop_us = self.quiet_us = -1
-        self.closing = False
+        self.door = True  # open to new clients, but for a full house
+        self.closing = False  # those who are left are answered for the last time
+        self.hang_up_us = -1  # of a stop: closing, from then on
         self.end_us = -1  # of a stop, whoever has not finished by then
         self.left = False
         self.wake_us = -1
@@ -192,6 +196,8 @@
         if limit_us is None or name in self.open_ids:  # an id is of one request only
             return self._reply(now, client, 400, request.body)
         limit_us = min(limit_us, profile.hard_limit_us)
+        if not self.door:  # guards against a transaction taken late in a stop that is cut off unanswered
+            limit_us = min(limit_us, self.hang_up_us + self._last_us() - STOP_SPARE_US - now)
         if held.surplus:
             return [do.Note("no_room", {"side": "clients", "open": len(self.clients)}),
                     *self._reply(now, client, 503, request.body)]
@@ -290,13 +296,17 @@
         out: list[Effect] = []
         if now >= self.sidecar.wake_us:
             out += self._decided(now, self.sidecar.wake(now))
-        if self.stop_us >= 0 and not self.closing and now >= self._close_us():
+        if self.stop_us >= 0 and self.door and now >= self._close_us():
+            self.door = False
+            self.hang_up_us = now + self._last_us()
+            out += [do.Listen(False, closed=True), do.Note("closing", {"clients": len(self.clients)})]
+        if not self.door and not self.closing and now >= self.hang_up_us:
+            # Not sooner: clients who are left may have nobody else to go to while others restart.
             self.closing = True
             self.end_us = now + self.longest_us
-            out += [do.Listen(False, closed=True), do.Note("closing", {"clients": len(self.clients)})]
             out += [self._shut_idle(client) for client in list(self.idle_clients)]
         # Guards against those that say nothing, or never end a request, for as long as they like.
-        most_us = FRESH_US if self.closing else SILENT_US
+        most_us = SILENT_US if self.door else FRESH_US
         silent = [client for client, came_us in self.fresh_clients.items() if came_us + most_us <= now]
         out += [self._shut_idle(client) for client in silent]
         return self._out(now, out)
@@ -335,6 +345,11 @@
         quiet_us = max(self.stop_us + STOP_LEAST_US, self.quiet_us + STOP_QUIET_US)
         return min(quiet_us, self.stop_us + STOP_MOST_US)
 
+    def _last_us(self) -> int:
+        """Of a stop, once the door is closed: so long those who are left are served; so long again what they
+        ask for last may take."""
+        return min(self.longest_us, STOP_KILLED_US) // 2
+
     def _last(self, held: Client) -> bool:
         return self.closing or held.surplus or not held.keep
 
@@ -443,26 +458,25 @@
     def _out(self, now: int, out: list[Effect]) -> list[Effect]:
         """What every happening may bring: an earlier time to be woken, and the end."""
         wake_us = self.sidecar.wake_us
-        if not self.closing:
+        if self.door:
             # Guards against a listener that waits for room while clients that may be closed sit idle.
             most = self.room.clients + self.room.surplus
             on = len(self.clients) < most or self._spare_client(now) is not None
             if on is not self.listening:
                 self.listening = on
                 out.append(do.Listen(on))
-        if self.stop_us >= 0 and not self.closing:
-            wake_us = min(wake_us, self._close_us())
-        elif self.closing:
-            wake_us = min(wake_us, self.end_us)
+        if self.stop_us >= 0:
+            wake_us = min(wake_us, self._close_us() if self.door else
+                          self.end_us if self.closing else self.hang_up_us)
         if self.fresh_clients:
-            most_us = FRESH_US if self.closing or not self.listening else SILENT_US
+            most_us = SILENT_US if self.door and self.listening else FRESH_US
             wake_us = min(wake_us, next(iter(self.fresh_clients.values())) + most_us)
         if wake_us != self.wake_us:
             self.wake_us = wake_us
             out.append(do.Wake(wake_us))
         # Guards against a stop that waits for a client who never sends the rest of a request.
-        over = now >= self.end_us or (not self.clients and not self.txs)
-        if self.closing and over and not self.left:
+        over = (self.closing and now >= self.end_us) or (not self.clients and not self.txs)
+        if not self.door and over and not self.left:
             self.left = True
             out.append(do.Leave())
         return out
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -409,6 +409,14 @@
     front.came(4, now=SECOND * 6 // 10)  # and another; but not for ever
     front.told = front.reducer.woke(700_000)
     assert front.all(do.Listen) == [do.Listen(False, True)]
+    assert not front.all(do.Shut)
+    front.ask(2, now=SECOND)  # one that was there may have nobody else to go to
+    late = front.hop()
+    assert late.until_us <= 700_000 + SECOND - 200_000  # and has its answer before the process may be killed
+    front.end(late, Outcome.COMMITTED, now=SECOND)
+    assert [write.last for write in front.all(do.Write)] == [False]
+    front.told += front.reducer.written(SECOND, 2)
+    front.told = front.reducer.woke(1_200_000)
     assert front.all(do.Shut) == [do.Shut(2, True)]
     front.told = front.reducer.woke(SECOND * 16 // 10)  # those who never sent a request
     assert front.all(do.Shut) == [do.Shut(3, True), do.Shut(4, True)]
