--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -413,7 +413,7 @@
     front.ask(2, now=SECOND)  # one that was there may have nobody else to go to
     late = front.hop()
     assert late.until_us <= 700_000 + SECOND - 200_000  # and has its answer before the process may be killed
-    front.end(late, Outcome.COMMITTED, now=SECOND)
+    front.end(late, Outcome.COMMITTED, now=SECOND + 1000)
     assert [write.last for write in front.all(do.Write)] == [False]
     front.told += front.reducer.written(SECOND, 2)
     front.told = front.reducer.woke(1_200_000)
@@ -436,6 +436,8 @@
     front.told = front.reducer.woke(SECOND)
     assert not front.all(do.Leave)
     front.told = front.reducer.woke(3 * SECOND)
+    assert not front.all(do.Leave)
+    front.told = front.reducer.woke(4 * SECOND)
     assert len(front.all(do.Leave)) == 1
 
 
