A list that keeps telling older revisions is asked for anew after a pause

Seen on rereading: news with a lower revision had the whole list asked for at once, so that an agent that goes on telling such news would keep the loop busy. At fault: reducer.news gave the watch no pause.

--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -128,7 +128,7 @@
             # Guards against drains unheard where discovery has begun to count anew.
             self.anew = True
             return [*out, do.Note("list", {"revision": news.revision, "older_than": self.revision}),
-                    self._watch(now)]
+                    self._watch(now + AGAIN_US)]  # not at once: it may go on telling such news
         self.anew = self.anew and not news.full
         self.revision = news.revision
         entries, stale, gone = self.roster.heard(news)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -390,7 +390,8 @@
     front.told = front.reducer.watch_ended(SECOND, "ended")
     assert front.all(do.Watch)[0].at_us < SECOND + 100_000
     front.told = front.reducer.news(0, news(3, False))  # discovery may count anew: drains must not go unheard
-    assert front.all(do.Watch)[0].after == -1
+    [watch] = front.all(do.Watch)
+    assert watch.after == -1 and watch.at_us > 0  # and must not keep the loop busy if it goes on so
     front.reducer.news(0, news(3, True))
     assert front.reducer.revision == 3
 
