An open-loop load generator, stand-in tiers and a checker of the four rules

Change: `cressrail load run` draws its send times before the run, times each transaction from when it was due, keeps the figures by profile, member, outcome and second, sets the closed-loop figure beside them and refuses latencies where it was itself late. `cressrail standin run` plays up to four tiers of endpoints with a real sidecar process before each, discovery that can be late, silent, torn or count anew, and faults on a timeline. The checker judges the four rules from the ledgers of both ends. requirements-lab.txt holds what the rigs need; `serve` loads none of it.

--- a/cressrail/__main__.py
+++ b/cressrail/__main__.py
@@ -6,9 +6,14 @@
 
 
 def main() -> None:
-    from cressrail.cli.commands import app
+    from cressrail.cli import lab
 
-    app()
+    if sys.argv[1:2] and sys.argv[1] in lab.RIGS:
+        lab.main()
+    else:
+        from cressrail.cli.commands import app
+
+        app()
 
 
 if sys.argv[1:] == ["serve"]:
--- /dev/null
+++ b/cressrail/load/record.py
@@ -0,0 +1,49 @@
+"""Traces from what is there already: a run's ledger, or a sidecar's log."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import orjson
+
+from cressrail.load.trace import BadRow
+
+Row = tuple[int, str, str, int, str]
+ENDED = ("rolled_back", "abandoned", "committed")  # events of a sidecar's log that end a transaction
+
+
+def recorded(path: Path, size: int = 0) -> Iterator[Row]:
+    """Rows of a trace, in order of time. A log tells neither sizes nor keys, and of committed transactions
+    only if the sidecar writes them (`log.committed`); what it lacks is `size`. Raises `BadRow`."""
+    found: list[Row] = []
+    with open(path, "rb") as file:
+        for n, line in enumerate(file, 1):
+            try:
+                said = orjson.loads(line)
+                row = _row(said, size)
+            except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as fault:
+                raise BadRow(f"{path}: row {n}: {type(fault).__name__}: {fault}") from None
+            if row is not None:
+                found.append(row)
+    found.sort()
+    first = found[0][0] if found else 0
+    yield from ((at - first, *rest) for at, *rest in found)  # type: ignore[misc]
+
+
+def _row(said: dict[str, object], size: int) -> Row | None:
+    # of a ledger, a try a row; a client's repeats are its own affair and are drawn anew
+    if "event" not in said:
+        if not str(said["id"]).endswith("-1"):
+            return None
+        return (
+            int(str(said["due_us"])),
+            str(said["profile"]),
+            str(said["member"]),
+            int(str(said.get("size", size))),
+            str(said.get("key", "")),
+        )
+    if said["event"] not in ENDED:
+        return None
+    took = int(str(said.get("us", 0)))
+    return int(str(said["at_us"])) - took, str(said["profile"]), str(said["member"] or ""), size, ""
--- /dev/null
+++ b/cressrail/standin/file.py
@@ -0,0 +1,28 @@
+"""Reads a rig's TOML file; what can't be used is one line with file, path and reason."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from cressrail.load.plan import reason
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class Unusable(Exception):
+    pass
+
+
+def read(path: Path, model: type[Model]) -> Model:
+    try:
+        return model.model_validate(tomllib.loads(path.read_text()))
+    except (OSError, UnicodeDecodeError) as fault:
+        raise Unusable(f"{path}: {getattr(fault, 'strerror', None) or fault}") from None
+    except tomllib.TOMLDecodeError as fault:
+        raise Unusable(f"{path}: not TOML: {fault}") from None
+    except ValidationError as fault:
+        raise Unusable(f"{path}: {reason(fault)}") from None
--- /dev/null
+++ b/cressrail/standin/launch.py
@@ -0,0 +1,152 @@
+"""Starts a sidecar with another policy, as a baseline, or broken on purpose, to prove that the rule checker
+sees it. Switches of the rig only: the product has none of them.
+
+python -m cressrail.standin.launch --policy NAME --break NAME CONFIG
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from cressrail import brain
+from cressrail.brain import Decision, Endpoint, Outcome, Tx
+from cressrail.catalog.news import News
+from cressrail.cli.launch import launch
+from cressrail.http1.answer import Answer
+from cressrail.outfit import parts
+from cressrail.sockets.client import ClientTask
+from cressrail.traffic.effects import Write
+from cressrail.traffic.roster import Roster
+
+
+class Baseline(brain.Sidecar):
+    """No limits, no line, no zones first, no cold part. What it keeps are the four rules' hard bounds on
+    repeats."""
+
+    again = False  # retries whatever may be, with no budget and whoever owns the error
+
+    def route(self, tx: Tx, now: int) -> list[Decision]:
+        e = self.choose(tx)
+        if tx.end_us <= now or e is None:
+            return self._give_up(tx)
+        return [self._hop(tx, e, now)]
+
+    def _after(self, tx: Tx, e: Endpoint, now: int, how: Outcome) -> list[Decision]:
+        if self.again and now < tx.end_us and self.repeat_rule.may_hop(tx, now):
+            other = self.choose(tx)
+            if other is not None:
+                return [self._hop(tx, other, now)]
+        return self._give_up(tx)
+
+    def choose(self, tx: Tx) -> Endpoint | None:
+        among = [
+            e
+            for e in self.endpoints.values()
+            if e.on and (not tx.anchor or self.repeat_rule.may_go_to(tx, e))
+        ]
+        return self.among(among) if among else None
+
+    def among(self, open_: list[Endpoint]) -> Endpoint:
+        return open_[self.chance.below(len(open_))]
+
+
+class RoundRobin(Baseline):
+    turn = 0
+
+    def among(self, open_: list[Endpoint]) -> Endpoint:
+        self.turn += 1
+        return open_[self.turn % len(open_)]
+
+
+class LeastInFlight(Baseline):
+    def among(self, open_: list[Endpoint]) -> Endpoint:
+        return min(open_, key=lambda e: (e.in_flight, self.chance.below(1 << 16)))
+
+
+class RetryAlways(Baseline):
+    again = True
+
+
+POLICIES = {"random": Baseline, "round-robin": RoundRobin, "least-in-flight": LeastInFlight,
+            "retry-always": RetryAlways}
+
+
+def answers_twice() -> None:
+    """Rule 1: something is sent after the final answer."""
+    write = ClientTask._write
+
+    def twice(self: ClientTask, message: Write) -> None:
+        write(self, message)
+        if self.number % 3 == 0:
+            self.stream.send([memoryview(Answer(503).head(True))], self.net.now() + 100_000)
+
+    ClientTask._write = twice  # type: ignore[method-assign]
+
+
+def swallows() -> None:
+    """Rule 1: some that were taken get no answer."""
+    write = ClientTask._write
+
+    def eats(self: ClientTask, message: Write) -> None:
+        if message.answer.body is None or self.net.reducer.numbers % 7:
+            write(self, message)
+            return
+        message.answer.body.give_back()
+        raise OSError("swallowed on purpose")
+
+    ClientTask._write = eats  # type: ignore[method-assign]
+
+
+def repeats() -> None:
+    """Rule 2: what may have run goes out again, whatever its profile."""
+    brain.RepeatRule.may_hop = lambda self, tx, now: len(tx.hops) < self.most_hops  # type: ignore[method-assign]
+    brain.RepeatRule.may_go_to = lambda self, tx, e: True  # type: ignore[method-assign]
+    brain.RetryBudget.spend = lambda self, now: True  # type: ignore[method-assign]
+    brain.Sidecar._claimed = lambda self, e, now, how: True  # type: ignore[method-assign]
+
+
+def deaf() -> None:
+    """Rule 3: what discovery says of draining and leaving is not heard."""
+    heard = Roster.heard
+
+    def never(self: Roster, news: News) -> Any:
+        for row in news.rows:
+            row.on, row.gone = True, False
+        news.full = False
+        return heard(self, news)
+
+    Roster.heard = never  # type: ignore[method-assign]
+
+
+def rushes() -> None:
+    """Rule 4: a cold endpoint is the one that everything goes to."""
+    brain.ColdRule.cold = lambda self, e, now: False  # type: ignore[method-assign]
+
+    class Rush(LeastInFlight):
+        def among(self, open_: list[Endpoint]) -> Endpoint:
+            return max(open_, key=lambda e: e.started_us)
+
+    POLICIES["own"] = Rush
+
+
+BREAKS = {
+    "answers-twice": answers_twice,
+    "swallows": swallows,
+    "repeats": repeats,
+    "deaf": deaf,
+    "rushes": rushes,
+}
+
+
+def main(words: list[str]) -> int:
+    policy, broken, config = words[1], words[3], words[4]
+    if broken:
+        BREAKS[broken]()
+    if policy in POLICIES:
+        vars(parts)["Sidecar"] = POLICIES[policy]
+    return launch(config)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/cressrail/standin/sidecars.py
@@ -0,0 +1,169 @@
+"""Real sidecars as processes: what each is told, its start, its end. The one owner of these processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cressrail.peers.caller import Answer, Caller
+from cressrail.standin.words import World
+
+READY_S = 15.0
+
+
+class Sidecar:
+    def __init__(self, name: str, tier_no: int, number: int, zone: str, listen: tuple[str, int],
+                 discovery: tuple[str, int]) -> None:
+        self.name, self.tier_no, self.number, self.zone = name, tier_no, number, zone
+        self.listen, self.discovery = listen, discovery
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def target(self) -> str:
+        return f"{self.listen[0]}:{self.listen[1]}"
+
+
+def told(world: World, sidecar: Sidecar, copies: int, seed: int) -> dict[str, Any]:
+    """Its configuration, in the platform's words."""
+    config: dict[str, Any] = {
+        "name": sidecar.name,
+        "listen": sidecar.target,
+        "discovery": "{}:{}".format(*sidecar.discovery),
+        "seed": f"{seed:x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 0, "complete": True, "members": []},
+        "settings": {
+            "n_instances": copies,
+            "slot_no": sidecar.number,
+            "tiers": [t.name for t in world.fleet.tiers],
+            "stage": sidecar.tier_no,
+            "dcs": world.fleet.zones,
+            "zone": sidecar.zone,
+            "round_us": 5000,
+            "membership_mode": "automatic",
+            "revenue_basis": "request",
+            "surplus_revenue": 0.05,
+            "profiles": [
+                {
+                    "name": p.name,
+                    "repeat": p.repeat,
+                    "service_goal_us": int(p.goal_ms * 1000),
+                    "hard_limit_us": int(p.limit_ms * 1000),
+                    "revenue": p.revenue,
+                    **(
+                        {"key_scope": p.key_scope, "window_us": int(p.window_ms * 1000)}
+                        if p.repeat == "keyed"
+                        else {}
+                    ),
+                }
+                for p in world.profiles
+            ],
+            "tenants": [
+                {"name": m.name, "allowance_per_s": m.allowance_per_s, "share": m.part}
+                for m in world.members
+                if m.allowance_per_s
+            ],
+            "limits": {
+                "may_cancel": True,
+                "most_hops": 3,
+                "parallel_tries": False,
+                "retry_after": True,
+                "max_retry_after_us": 1_000_000,
+                "connect_timeout_us": 250_000,
+                "conn_idle_us": 10_000_000,
+            },
+            "contract": {
+                "cold_from": world.fleet.contract.cold_from,
+                "warm_within_us": int(world.fleet.contract.warm_ms * 1000),
+            },
+        },
+    }
+    for path, value in world.fleet.settings.items():
+        put(config, path, value)
+    return config
+
+
+def put(into: dict[str, Any], path: str, value: Any) -> None:
+    """Sets `a.b.c`; raises `KeyError` where a part on the way is missing."""
+    *way, last = path.split(".")
+    at: Any = into
+    for word in way:
+        at = at[int(word)] if isinstance(at, list) else at[word]
+    at[last] = value
+
+
+class Sidecars:
+    """`tree`: where the program stands whose sidecars these are."""
+
+    def __init__(self, world: World, folder: Path, tree: Path, policy: str, broken: str) -> None:
+        self.world, self.folder, self.tree = world, folder, tree
+        self.policy, self.broken = policy, broken
+        self.all: list[Sidecar] = []
+
+    def start(self, sidecar: Sidecar, copies: int, seed: int) -> None:
+        config = self.folder / f"{sidecar.name}.json"
+        config.write_bytes(orjson.dumps(told(self.world, sidecar, copies, seed)))
+        log = open(self.folder / f"{sidecar.name}.log", "ab")  # noqa: SIM115 - closed below, once it is the child's
+        words = ["-m", "cressrail", "serve", str(config)]
+        if self.policy != "own" or self.broken:
+            words = [
+                "-m",
+                "cressrail.standin.launch",
+                "--policy",
+                self.policy,
+                "--break",
+                self.broken,
+                str(config),
+            ]
+        env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
+        with log:
+            sidecar.process = subprocess.Popen(
+                [sys.executable, *words],
+                cwd=self.tree,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**env, "PYTHONPATH": str(self.tree)},
+            )
+        if sidecar not in self.all:
+            self.all.append(sidecar)
+
+    async def ready(self, sidecar: Sidecar) -> None:
+        """Until /_health answers 200. Raises `RuntimeError` if it does not in time."""
+        loop = asyncio.get_running_loop()
+        over = loop.time() + READY_S
+        while loop.time() < over:
+            if sidecar.process is None or sidecar.process.poll() is not None:
+                break
+            caller = Caller(*sidecar.listen, most=1, keep=False)
+            heard: asyncio.Future[Answer] = loop.create_future()
+            caller.call(b"GET /_health HTTP/1.1\r\nhost: x\r\n\r\n", 500_000, heard.set_result)
+            if (await heard).status == 200:
+                return
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"{sidecar.name} does not get ready: see {self.folder / (sidecar.name + '.log')}")
+
+    def kill(self, sidecar: Sidecar) -> None:
+        if sidecar.process is not None:
+            sidecar.process.kill()
+            sidecar.process.wait()
+            sidecar.process = None
+
+    def close(self) -> None:
+        for sidecar in self.all:
+            if sidecar.process is not None:
+                sidecar.process.terminate()
+        for sidecar in self.all:
+            if sidecar.process is not None:
+                try:
+                    sidecar.process.wait(0.1)
+                except subprocess.TimeoutExpired:
+                    sidecar.process.kill()
+                    sidecar.process.wait()
+                sidecar.process = None
