--- a/cressrail/cli/standin.py
+++ b/cressrail/cli/standin.py
@@ -14,10 +14,11 @@
 from cressrail.cli.words import fail
 from cressrail.peers.caller import now_us
 from cressrail.standin import known
-from cressrail.standin.file import Unusable, read
+from cressrail.standin.file import Unusable, named, read
 from cressrail.standin.judge import evidence, judge
 from cressrail.standin.ledger import rows
 from cressrail.standin.run import run as run_fleet
+from cressrail.standin.sidecars import check
 from cressrail.standin.words import World
 
 app = typer.Typer(help="Stand-in tiers with faults, and the rule checker.", no_args_is_help=True,
@@ -39,6 +40,8 @@
     """Start the fleet, print where its doors are, play its faults; until Ctrl-C or the end of the input."""
     try:
         world = read(file, World)
+        with named(file):
+            check(world)
     except Unusable as fault:
         fail(str(fault))
     sys.exit(run_fleet(world, out, tree.resolve(), policy, broken, not wait))
--- a/cressrail/standin/file.py
+++ b/cressrail/standin/file.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TypeVar
 
@@ -17,6 +19,15 @@
     pass
 
 
+@contextmanager
+def named(path: Path) -> Iterator[None]:
+    """Names the file in which what can't be used in here stands."""
+    try:
+        yield
+    except Unusable as fault:
+        raise Unusable(f"{path}: {fault}") from None
+
+
 def read(path: Path, model: type[Model]) -> Model:
     try:
         return model.model_validate(tomllib.loads(path.read_text()))
--- a/cressrail/standin/sidecars.py
+++ b/cressrail/standin/sidecars.py
@@ -12,6 +12,7 @@
 import orjson
 
 from cressrail.peers.caller import Answer, Caller
+from cressrail.standin.file import Unusable
 from cressrail.standin.words import World
 
 READY_S = 15.0
@@ -90,12 +91,20 @@
 
 
 def put(into: dict[str, Any], path: str, value: Any) -> None:
-    """Sets `a.b.c`; raises `KeyError` where a part on the way is missing."""
+    """Sets `a.b.c`, numbers for the items of lists. Raises `Unusable` where a part on the way is missing."""
     *way, last = path.split(".")
     at: Any = into
-    for word in way:
-        at = at[int(word)] if isinstance(at, list) else at[word]
-    at[last] = value
+    try:
+        for word in way:
+            at = at[int(word)] if isinstance(at, list) else at[word]
+        at[int(last) if isinstance(at, list) else last] = value
+    except (KeyError, IndexError, TypeError, ValueError):
+        raise Unusable(f"settings: nothing at {path}") from None
+
+
+def check(world: World) -> None:
+    """That sidecars can be told what the file's settings say. Raises `Unusable`."""
+    told(world, Sidecar("any", 0, 0, world.fleet.zones[0], ("127.0.0.1", 1), ("127.0.0.1", 2)), 1, 1)
 
 
 class Sidecars:
