--- a/cressrail/cli/load.py
+++ b/cressrail/cli/load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -80,6 +82,28 @@
     print(summary(told))
 
 
+@app.command()
+def ceiling(least: float = 1000.0, step: Annotated[float, typer.Option(min=1.05)] = 1.5,
+            seconds: float = 3.0) -> None:
+    """Send to a server that answers at once, faster and faster, until this generator is late itself."""
+    words = [sys.executable, "-m", "cressrail.experiment.sink", "1", os.devnull]
+    with subprocess.Popen(words, stdout=subprocess.PIPE, text=True) as sink:
+        assert sink.stdout is not None
+        at = ("127.0.0.1", int(sink.stdout.readline().split()[0]))
+        rate, kept = least, 0.0
+        try:
+            while True:
+                told = play(Job(Plan(rate=rate, seconds=seconds), [at], quiet=True))
+                print(f"{rate:.0f} a second: late by {told['late_sends_us']['p999'] / 1000:.2f} ms at 99.9%"
+                      f"{', refused' if told['refused'] else ''}", flush=True)
+                if told["refused"]:
+                    break
+                rate, kept = rate * step, rate
+        finally:
+            sink.kill()
+    print(f"ceiling: {kept:.0f} a second on one core" if kept else f"ceiling: under {least:.0f} a second")
+
+
 @app.command()
 def record(source: Annotated[Path, typer.Argument(help="A run's ledger, or a sidecar's log.")],
            out: Annotated[Path, typer.Argument(help="The trace, JSON lines.")],
--- a/cressrail/experiment/report.py
+++ b/cressrail/experiment/report.py
@@ -112,7 +112,9 @@
 
 
 def _by_second(result: dict[str, Any], arm: str, name: str) -> Any:
-    return np.mean([r["series"][name] for r in result["arms"][arm]["rounds"]], axis=0)
+    """Of the seconds in which load was sent; what came after them is no dip."""
+    of = [r["series"][name][:max(1, int(result["seconds"]))] for r in result["arms"][arm]["rounds"]]
+    return np.mean(of, axis=0)
 
 
 def _faults(axes: Axes, result: dict[str, Any]) -> None:
--- a/cressrail/load/record.py
+++ b/cressrail/load/record.py
@@ -10,12 +10,12 @@
 from cressrail.load.trace import BadRow
 
 Row = tuple[int, str, str, int, str]
-ENDED = ("rolled_back", "abandoned", "committed")  # events of a sidecar's log that end a transaction
+ENDED = ("rolled_back", "abandoned")  # events of a sidecar's log that end a transaction
 
 
 def recorded(path: Path, size: int = 0) -> Iterator[Row]:
-    """Rows of a trace, in order of time. A log tells neither sizes nor keys, and of committed transactions
-    only if the sidecar writes them (`log.committed`); what it lacks is `size`. Raises `BadRow`."""
+    """Rows of a trace, in order of time. A log tells neither sizes nor keys, and nothing of committed
+    transactions; what it lacks is `size`. Raises `BadRow`."""
     found: list[Row] = []
     with open(path, "rb") as file:
         for n, line in enumerate(file, 1):
@@ -45,5 +45,4 @@
         )
     if said["event"] not in ENDED:
         return None
-    took = int(str(said.get("us", 0)))
-    return int(str(said["at_us"])) - took, str(said["profile"]), str(said["member"] or ""), size, ""
+    return int(str(said["at_us"])), str(said["profile"]), str(said["member"] or ""), size, ""
--- a/cressrail/load/spool.py
+++ b/cressrail/load/spool.py
@@ -10,7 +10,7 @@
 import numpy as np
 import numpy.typing as npt
 
-ANSWERED, HELD, LATE_SELF = 1, 2, 4  # flags
+ANSWERED, HELD = 1, 2  # flags
 ROW = np.dtype(
     [
         ("due_us", "<i8"),
