--- a/cressrail/experiment/figures.py
+++ b/cressrail/experiment/figures.py
@@ -15,8 +15,8 @@
 HEAT_S = 1  # a column of the heat map
 # Which way is better: 1 more, -1 less.
 BETTER = {"goodput": 1, "goodput_first": 1, "revenue": 1, "worst_member": 1, "worst_due": 1,
-          "worst_profile": 1, "p50_ms": -1, "p99_ms": -1, "hops_per_tx": -1, "retry_share": -1, "late_work_share": -1,
-          "effects_after_end": -1, "breaks": -1}
+          "worst_profile": 1, "p50_ms": -1, "p99_ms": -1, "hops_per_tx": -1, "retry_share": -1,
+          "late_work_share": -1, "effects_after_end": -1, "breaks": -1}
 
 
 def figures(world: World, played: Played, due: dict[str, float] | None = None) -> dict[str, float]:
