--- a/cressrail/standin/endpoint.py
+++ b/cressrail/standin/endpoint.py
@@ -105,8 +105,11 @@
     # Up and down
 
     async def listen(self) -> None:
+        """For callers of every zone that is not cut off and for which it does not listen already."""
         loop = asyncio.get_running_loop()
         for zone, (host, port) in self.hosts.items():
+            if zone in self.servers or zone in self.cut:
+                continue
             server = await loop.create_server(
                 lambda zone=zone: Served(self._asked, self._left, lambda s: self._came(s, zone)),  # type: ignore[misc]
                 host, port, backlog=BACKLOG, reuse_address=True)
@@ -154,15 +157,6 @@
                 if of in back:
                     served.abort()
 
-    async def reconnect(self) -> None:
-        """After a cut: listens again wherever it does not."""
-        loop = asyncio.get_running_loop()
-        for zone, (host, port) in self.hosts.items():
-            if self.up and zone not in self.servers and zone not in self.cut:
-                self.servers[zone] = await loop.create_server(
-                    lambda zone=zone: Served(self._asked, self._left, lambda s: self._came(s, zone)),  # type: ignore[misc]
-                    host, port, backlog=BACKLOG, reuse_address=True)
-
     def _block(self, zone: str) -> None:
         """A listener whose queue is full, so that the system drops what would connect."""
         deaf = socket.socket()
--- a/cressrail/standin/fleet.py
+++ b/cressrail/standin/fleet.py
@@ -40,7 +40,6 @@
         self.agents: dict[str, Agent] = {}
         self.callers: dict[Endpoint, Sidecar] = {}  # the sidecar through which an endpoint calls on
         self.doors: list[Sidecar] = []
-        self.faults: list[tuple[Fault, set[Endpoint]]] = []  # that hold now
         self.tasks: set[asyncio.Task[None]] = set()
         self.cut: set[str] = set()
 
@@ -205,7 +204,7 @@
                 apart = {z for z in e.hosts if z != e.zone and (z in zones) != (e.zone in zones)}
                 e.cut_from(apart)
                 if not apart and e.up:
-                    self.spawn(e.reconnect())
+                    self.spawn(e.listen())
 
     def _of_list(self, fault: Fault, on: bool) -> None:
         for agent in self.agents.values():
--- a/cressrail/standin/judge.py
+++ b/cressrail/standin/judge.py
@@ -38,7 +38,6 @@
     sidecars: dict[str, Row] = field(default_factory=dict)  # by the address that its clients use
     faults: list[Row] = field(default_factory=list)
     failed: list[Row] = field(default_factory=list)
-    kills: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))  # of sidecars, by address
     start_us: int = 0
 
 
