--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+from math import log
 from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Iterable
@@ -28,11 +29,21 @@
 
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
-LATE_SHARE = 0.8  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
+LATE_SHARE = 0.5  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
 LATE_SWINGS = 2.0  # then a hop is late that takes so many mean swings more than is usual
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
+SHARE_GROWTH = 0.8
+SHARE_CUT = 0.5
+TIE = 1
+TARGET = 0.28
+WIDTH = 0.5
+MEMORY_BESIDE = 4
+LEAST_OWN = 2
+LEAST_OTHER = 1
+SHARE_MOST = 2.0
+SHARE_LEAST = 0.1
 DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
@@ -89,6 +100,7 @@
     service_goal_us: int
     hard_limit_us: int
     earns: float  # revenue for the time it holds an endpoint, over that of the best profile
+    overdue: float = 1.0
 
 
 def earnings(revenues: list[float], goals_us: list[int], by_work: bool, worst_weight: float) -> list[float]:
@@ -119,6 +131,7 @@
     good: float = 1.0  # share of hops that the endpoint did not fail
     heard_us: int = -1
     dead_us: int = 0  # until then its process counts as gone
+    missed: int = 0  # connections in a row that did not come up
     inside: bool = False  # of the part of its group that is in use
     cold_credit: float = 0.0
     cold_us: int = 0
@@ -139,6 +152,8 @@
         self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
         self.size, self.limit, self.in_flight, self.failed = 0.0, 0.0, 0, 0  # sums over those in use
         self.failing = False  # more than half of them
+        self.share = SHARE_MOST
+        self.hops, self.rate = 0, 0.0
 
     def choose(self, now: int) -> None:
         """To be called where an endpoint comes, goes, fails or recovers, and now and then: from this copy's
@@ -164,6 +179,10 @@
         self.limit = sum(e.limit for e in self.use)
         self.in_flight = sum(e.in_flight for e in self.use)
 
+    def weigh(self, took: float) -> None:
+        by = max(SHARE_CUT, 1 + SHARE_GROWTH / max(1.0, self.rate) * log(TARGET / max(0.02, took)))
+        self.share = min(SHARE_MOST, max(SHARE_LEAST, self.share * by))
+
     def shift(self, e: Endpoint, limit: float, in_flight: int) -> None:
         if e.inside:
             self.limit += limit
@@ -215,6 +234,9 @@
             return True
         return e.zone == at.zone if tx.profile.group == ZONE else e.cell == at.cell
 
+    def may_roll_back_ever(self, profile: Profile) -> bool:
+        return profile.kind == IDEMPOTENT or (profile.kind == JOURNALLED and profile.group == ALL)
+
     def may_roll_back(self, tx: Tx) -> bool:
         if tx.anchor is None or tx.profile.kind == IDEMPOTENT:
             return True
@@ -322,7 +344,7 @@
 class Tx:
     """The handle of one transaction."""
 
-    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "luck", "member", "out",
+    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "goal_us", "hops", "leave_us", "luck", "member", "out",
                  "part", "profile", "side", "surplus")
 
     def __init__(self, side: Sidecar, profile: Profile, member: int, now: int, remaining_us: int) -> None:
@@ -332,6 +354,7 @@
         self.end_us = now + remaining_us - min(remaining_us // 64, side.round_us * 2)
         self.leave_us = min(self.end_us, now + profile.service_goal_us // LINE_PARTS)  # the line, by then
         self.surplus = side.shares.surplus(member, now)
+        self.goal_us = now + profile.service_goal_us - 4 * side.round_us
         earns = profile.earns * (side.shares.surplus_revenue if self.surplus else 1.0)
         self.part = OPEN_PART + (1 - OPEN_PART) * earns if side.at_door else 1.0  # of limits, open to it
         self.luck = side.chance.part()
@@ -363,7 +386,8 @@
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
                  at_door: bool, round_us: int, come_back_us: int,
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
-                 shares: Shares, copies: int, number: int, now: int) -> None:
+                 shares: Shares, copies: int, number: int, now: int, beside: bool = False) -> None:
+        self.beside = beside
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups = [Group([], 0, 0) for _ in range(zones)]
@@ -387,6 +411,7 @@
         self.line_due_us = now  # the first leaves it then, if not before
         self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
         self.spill_us = now
+        self.flying: dict[tuple[Tx, int], int] = {}
         asking.born(now)
         self.wake_us = now
 
@@ -419,7 +444,12 @@
                 zoned[e.zone].append(e)
         # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
         wanted = max(LEAST_PART, -int(-FIRST_LIMIT * sum(len(z) for z in zoned) // self.copies))
+        old = self.groups
         self.groups = [Group(z, self.start, wanted) for z in zoned]
+        for g, o in zip(self.groups, old):
+            g.share, g.hops, g.rate = o.share, o.hops, o.rate
+        if self.beside:
+            self._widths()
         for zone, group in enumerate(self.groups):
             # How many copies use an endpoint, if all use so many; of the own zone only its own copies. Guards
             # against traffic that sits in one zone being held to the limits of an even spread.
@@ -446,11 +476,18 @@
 
     def take(self, now: int, profile: Profile, member: int, remaining_us: int) -> Tx:
         self.budget.take(now)
+        if self.beside:
+            self._overdue(now)
         return Tx(self, profile, member, now, remaining_us)
 
     def wake(self, now: int) -> list[Decision]:
         if now - self.spill_us >= 1_000_000:
             self.spill_us = now
+            if self.beside:
+                for g in self.groups:
+                    g.rate += (g.hops - g.rate) / 4
+                    g.hops = 0
+                self._widths()
             for group in self.groups:
                 group.choose(now)
             self._adjust_spill(now)
@@ -460,6 +497,11 @@
             self.wake_us = min(self.wake_us, now + 4 * self.round_us, self.line_due_us)
         return decided
 
+    def _widths(self) -> None:
+        for zone, g in enumerate(self.groups):
+            least = LEAST_OWN if zone == self.order[0] else LEAST_OTHER
+            g.wanted = min(len(g.all), max(least, int(g.rate * WIDTH)))
+
     # What is decided
 
     def route(self, tx: Tx, now: int) -> list[Decision]:
@@ -469,7 +511,7 @@
         e = None if behind else self._pick(tx, now)
         if e is not None:
             return [self._hop(tx, e, now)]
-        if tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
+        if self.beside or tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
             return self._give_up(tx)
         # Guards against a low earner at the head, to whom little is open, holding up all behind it.
         insort(self.line, tx, key=_by_part)
@@ -484,7 +526,8 @@
             return []
         e.in_flight -= 1
         self.groups[e.zone].shift(e, 0.0, -1)
-        self._judge(e, tx, now, how, latency_us)
+        fresh = self.flying.pop((tx, hop), 0) > 0
+        self._judge(e, tx, now, how, latency_us, fresh)
         decided: list[Decision] = []
         if how not in NEVER_RAN and how is not Outcome.COMMITTED and tx.anchor is None:
             tx.anchor, tx.anchor_us = e, now - latency_us
@@ -526,15 +569,30 @@
         if not tx.hops:
             self.shares.sent(tx.member, tx.surplus)
         e.in_flight += 1
+        self.groups[e.zone].hops += 1
         self.groups[e.zone].shift(e, 0.0, 1)
         tx.out[len(tx.hops)] = now
+        if self.beside:
+            self.flying[tx, len(tx.hops)] = now + int(self.late * tx.profile.service_goal_us)
         tx.hops.append(e)
-        return (tx, HOP, e.ix, tx.end_us - now)
+        end_us = tx.end_us
+        if self.beside and not tx.profile.overdue and self.repeat_rule.may_roll_back_ever(tx.profile):
+            end_us = max(now + 1, min(end_us, tx.goal_us))
+        return (tx, HOP, e.ix, end_us - now)
 
     def _pick(self, tx: Tx, now: int) -> Endpoint | None:
         order = self.order
         if self.next_zone >= 0 and self.spill and self.chance.part() < self.spill:
             order = [self.next_zone, *(z for z in order if z != self.next_zone)]
+        if self.beside and len(order) > 2:
+            sizes = [self.groups[z].size * self.groups[z].share for z in order[1:]]
+            at = self.chance.part() * sum(sizes)
+            k = 0
+            while k < len(sizes) - 1 and at >= sizes[k]:
+                at -= sizes[k]
+                k += 1
+            order = [order[0], order[k + 1], *(z for z in order[1:] if z != order[k + 1])]
+        self.at_luck = tx.luck
         # Those that fail are tried last, rather than not at all.
         for group in sorted((self.groups[zone] for zone in order), key=lambda g: g.failing):
             if (e := self._pick_in(group, tx, now)) is not None:
@@ -545,14 +603,22 @@
         # A copy with nothing out may send one. Guards against that floor for each zone of many copies, which
         # alone crowds endpoints. Of a part between whole hops, what is above is open to so many of the
         # transactions, by their luck: else where limits are thin surplus has as much of them as any.
+        if self.beside:
+            if not group.use or self.at_luck >= tx.part * group.share:
+                p = tx.part * group.share
+                self.at_luck = (self.at_luck - p) / (1 - p) if p < 1 else 0.0
+                return None
         limit = group.limit if any(g.in_flight for g in self.groups) else max(1.0, group.limit)
-        if not group.use or group.in_flight + 1 > tx.part * limit + tx.luck:
+        if not self.beside and (not group.use or group.in_flight + 1 > tx.part * limit + tx.luck):
             return None
         a = self._draw(group, tx, now, None)
         b = a and self._draw(group, tx, now, a)
         if not a or not b:
             return a
         if a.in_flight * b.scale == b.in_flight * a.scale:
+            if self.beside and a.latency and b.latency:
+                la, lb = a.latency**TIE, b.latency**TIE
+                return a if self.chance.part() * (la + lb) < lb else b
             return a if a.latency <= b.latency else b
         return a if a.in_flight * b.scale < b.in_flight * a.scale else b
 
@@ -569,7 +635,9 @@
         return None
 
     def _open(self, e: Endpoint, size: float, tx: Tx, now: int) -> bool:
-        if e.in_flight >= max(1.0, e.limit * tx.part) or e in tx.hops or now < e.dead_us:
+        if e in tx.hops or now < e.dead_us:
+            return False
+        if not self.beside and e.in_flight >= max(1.0, e.limit * tx.part):
             return False
         if tx.anchor is not None and not self.repeat_rule.may_go_to(tx, e):
             return False
@@ -577,7 +645,22 @@
 
     # What is learned
 
-    def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int) -> None:
+    def _overdue(self, now: int) -> None:
+        for key in [k for k, due in self.flying.items() if due <= now]:
+            del self.flying[key]
+            e = key[0].hops[key[1]]
+            group = self.groups[e.zone]
+            if e.on:
+                was = e.succeeds(now)
+                e.heard_us = now
+                e.good -= e.good / MEMORY_BESIDE
+                e.latency += (1.0 - e.latency) / MEMORY if e.latency else 1.0
+                group.weigh(1.0)
+                if was is not e.succeeds(now):
+                    group.choose(now)
+
+    def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int,
+               fresh: bool = True) -> None:
         if how in SILENT:
             return
         group = self.groups[e.zone]
@@ -585,13 +668,19 @@
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
         failed = how not in (Outcome.COMMITTED, Outcome.TURNED_AWAY)
-        e.good += ((0.0 if failed else 1.0) - e.good) / MEMORY
+        if fresh or not failed or not self.beside:
+            e.good += ((0.0 if failed else 1.0) - e.good) / (MEMORY_BESIDE if self.beside else MEMORY)
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
         below = how is Outcome.ERROR and not self.last_tier
         # No crowding holds a hop that later ones have overtaken. Guards against limits that shrink to nothing
         # where answers get lost now and then.
         lost = how is Outcome.TIMED_OUT and e.prompt_us > now - latency_us
         crowded = (took > self.late and not lost) or how is Outcome.TURNED_AWAY or below
+        if self.beside and how is Outcome.UNREACHED:
+            e.dead_us = now + (LEFT_OUT_US << min(2, e.missed))
+            e.missed += 1
+        else:
+            e.missed = 0
         if how is Outcome.COMMITTED:
             self.cold_rule.carry(now)
             self._learn_usual(now, took)
@@ -602,7 +691,10 @@
             return  # Guards against a hop that ends after its endpoint, or its whole zone, has left the list.
         if was is not e.succeeds(now):
             group.choose(now)
-        if crowded:
+        if self.beside:
+            if fresh and (crowded or how is Outcome.COMMITTED):
+              group.weigh(took)
+        elif crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
                 # An error among good answers cuts less. Guards against limits that a few spoilt answers cut.
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -40,7 +40,8 @@
             window_us = told.whole(at + "window_us", 0)
         found[told.word(at + "name")] = Profile(
             kind, group, window_us,
-            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), earns[n])
+            told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), earns[n],
+            told.real(at + "overdue_revenue", 0, 1, absent=1.0))
     return found
 
 
@@ -82,4 +83,5 @@
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
                            now),
         shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
-        copies=copies, number=told.whole("slot_no", 0, absent=0), now=now)
+        copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
+        beside=told.pairs.get("domain_type", "chain") != "chain")
