--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -37,6 +37,7 @@
 SHARE_GROWTH = 0.8
 SHARE_CUT = 0.5
 TIE = 1
+START = 1.0
 TARGET = 0.28
 WIDTH = 0.5
 MEMORY_BESIDE = 4
@@ -450,6 +451,10 @@
             g.share, g.hops, g.rate = o.share, o.hops, o.rate
         if self.beside:
             self._widths()
+            if not old or not any(g.all for g in old):
+                total = sum(e.scale for g in self.groups for e in g.all)
+                for g in self.groups:
+                    g.share = min(SHARE_MOST, START * len(self.groups) * sum(e.scale for e in g.all) / max(1e-9, total))
         for zone, group in enumerate(self.groups):
             # How many copies use an endpoint, if all use so many; of the own zone only its own copies. Guards
             # against traffic that sits in one zone being held to the limits of an even spread.
