--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -29,7 +29,7 @@
 
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
-LATE_SHARE = 0.5  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
+LATE_SHARE = 0.8  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
 LATE_SWINGS = 2.0  # then a hop is late that takes so many mean swings more than is usual
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
@@ -393,7 +393,7 @@
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups = [Group([], 0, 0) for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
-        self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
+        self.late = LATE_SHARE * tiers_to_go if not beside else 0.5  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
         self.usual_us, self.heard = now, 0
         self.last_tier = last_tier
@@ -672,7 +672,7 @@
         was = e.succeeds(now)
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
-        failed = how not in (Outcome.COMMITTED, Outcome.TURNED_AWAY)
+        failed = how is not Outcome.COMMITTED and (self.beside or how is not Outcome.TURNED_AWAY)
         if fresh or not failed or not self.beside:
             e.good += ((0.0 if failed else 1.0) - e.good) / (MEMORY_BESIDE if self.beside else MEMORY)
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
@@ -698,7 +698,7 @@
             group.choose(now)
         if self.beside:
             if fresh and (crowded or how is Outcome.COMMITTED):
-              group.weigh(took)
+              group.weigh(took if how is Outcome.COMMITTED else max(1.0, took))
         elif crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
