A sidecar beside each client: zones admit a part of transactions; shapes checked at start

Cause: limits of hops in flight fell where 330 to 520 copies send one to five transactions a second.

Change, all in the mechanisms that were there: in place of a limit in flight a zone admits a part of the transactions, moved by the logarithm of each hop's latency over an aim, more for each hop where hops are few; overdue hops tell before they end; the part of a zone in use goes by the copy's own rate to it; overflow goes to other zones by chance; an endpoint that turns away counts as failing; one without a connection is left out for 2.5 s, doubling; where late answers earn nothing and a rollback stays allowed, a transaction ends at its goal. Which shape is in force follows from domain_type; a file that mixes shapes is refused by its key at start and on SIGHUP.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -12,16 +12,18 @@
   3. members' shares                         Shares
   4. a part of each zone for each copy       Group.choose
   5. nothing to a process that is gone       Endpoint.dead_us; told by `died`, on sockets only
+Beside each client process (many copies, each with little traffic) the first is a part of a zone's
+transactions instead, Group.admits, the second is not used, and a part goes by the copy's own rate.
 """
 
 from __future__ import annotations
 
-from math import log
 from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from math import log
 
 HOP, CALL_OFF, ROLLED_BACK, ABANDONED = "hop", "call off", "rolled back", "abandoned"
 IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT = "idempotent", "journalled", "non-idempotent"
@@ -34,17 +36,6 @@
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
-SHARE_GROWTH = 0.8
-SHARE_CUT = 0.5
-TIE = 1
-START = 1.0
-TARGET = 0.28
-WIDTH = 0.5
-MEMORY_BESIDE = 4
-LEAST_OWN = 2
-LEAST_OTHER = 1
-SHARE_MOST = 2.0
-SHARE_LEAST = 0.1
 DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
@@ -57,6 +48,15 @@
 DRAWS = 8  # at random for an endpoint that is open, before those beside it are gone through
 MEMORY = 8  # outcomes that an endpoint's averages look back on
 LEFT_OUT_US = BUDGET_WINDOW_US // 4  # for so long one that died or fails gets nothing, then it is tried
+# Beside each client process:
+ADMIT_MOST, ADMIT_LEAST = 1 / OPEN_PART, 0.05  # of a zone's transactions, times what is open to each
+ADMIT_AIM = 0.28  # of the service goal: the geometric mean of latencies that a zone is held to
+ADMIT_STEP = 0.8  # for a hop a second: how far a latency moves it, for its logarithm over the aim
+ADMIT_CUT = 0.5  # what one hop leaves of it at the least
+OVERDUE = 0.5  # of the service goal: a hop that is out for longer tells of crowding before it ends
+OUT_MEMORY = 4  # outcomes that an endpoint's record looks back on
+USED_FOR_RATE = 0.5  # endpoints of a zone in use for each hop a second
+USED_OWN, USED_OTHER = 2, 1  # at the least; each is a connection, of which an endpoint takes few
 Decision = tuple["Tx", str, int, int]
 Entry = tuple[int, int, int, float, bool, int, int]  # endpoint, zone, cell, scale, on, started, place
 
@@ -101,7 +101,7 @@
     service_goal_us: int
     hard_limit_us: int
     earns: float  # revenue for the time it holds an endpoint, over that of the best profile
-    overdue: float = 1.0
+    overdue: float = 1.0  # part of the revenue that an answer after the service goal earns
 
 
 def earnings(revenues: list[float], goals_us: list[int], by_work: bool, worst_weight: float) -> list[float]:
@@ -153,8 +153,8 @@
         self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
         self.size, self.limit, self.in_flight, self.failed = 0.0, 0.0, 0, 0  # sums over those in use
         self.failing = False  # more than half of them
-        self.share = SHARE_MOST
-        self.hops, self.rate = 0, 0.0
+        self.admits = 0.0  # part of transactions admitted, times what is open to each; 0: unknown
+        self.hops, self.hops_per_s = 0, 0.0  # sent this second, and a mean of the last few
 
     def choose(self, now: int) -> None:
         """To be called where an endpoint comes, goes, fails or recovers, and now and then: from this copy's
@@ -181,8 +181,10 @@
         self.in_flight = sum(e.in_flight for e in self.use)
 
     def weigh(self, took: float) -> None:
-        by = max(SHARE_CUT, 1 + SHARE_GROWTH / max(1.0, self.rate) * log(TARGET / max(0.02, took)))
-        self.share = min(SHARE_MOST, max(SHARE_LEAST, self.share * by))
+        """A latency in service goals moves what is admitted. By its logarithm: work varies so much that the
+        mean stands high at idle endpoints. By the copy's rate: light ones learn in as many seconds."""
+        step = ADMIT_STEP / max(1.0, self.hops_per_s) * log(ADMIT_AIM / max(ADMIT_AIM / 16, took))
+        self.admits = min(ADMIT_MOST, max(ADMIT_LEAST, self.admits * max(ADMIT_CUT, 1 + step)))
 
     def shift(self, e: Endpoint, limit: float, in_flight: int) -> None:
         if e.inside:
@@ -235,11 +237,9 @@
             return True
         return e.zone == at.zone if tx.profile.group == ZONE else e.cell == at.cell
 
-    def may_roll_back_ever(self, profile: Profile) -> bool:
-        return profile.kind == IDEMPOTENT or (profile.kind == JOURNALLED and profile.group == ALL)
-
-    def may_roll_back(self, tx: Tx) -> bool:
-        if tx.anchor is None or tx.profile.kind == IDEMPOTENT:
+    def may_roll_back(self, tx: Tx, ran: bool = False) -> bool:
+        """Now, or (`ran`) also once a hop may have run."""
+        if tx.profile.kind == IDEMPOTENT or (tx.anchor is None and not ran):
             return True
         return tx.profile.kind == JOURNALLED and tx.profile.group == ALL
 
@@ -345,7 +345,7 @@
 class Tx:
     """The handle of one transaction."""
 
-    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "goal_us", "hops", "leave_us", "luck", "member", "out",
+    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "luck", "member", "out",
                  "part", "profile", "side", "surplus")
 
     def __init__(self, side: Sidecar, profile: Profile, member: int, now: int, remaining_us: int) -> None:
@@ -353,15 +353,18 @@
         self.member = member
         self.profile = profile
         self.end_us = now + remaining_us - min(remaining_us // 64, side.round_us * 2)
+        self.anchor: Endpoint | None = None  # of the first hop that may have run
+        # Guards against endpoints at work on what no longer earns, where it may be rolled back in good time.
+        if side.beside and not profile.overdue and side.repeat_rule.may_roll_back(self, ran=True):
+            goal_us = profile.service_goal_us
+            self.end_us = min(self.end_us, now + max(goal_us // 2, goal_us - 4 * side.round_us))
         self.leave_us = min(self.end_us, now + profile.service_goal_us // LINE_PARTS)  # the line, by then
         self.surplus = side.shares.surplus(member, now)
-        self.goal_us = now + profile.service_goal_us - 4 * side.round_us
         earns = profile.earns * (side.shares.surplus_revenue if self.surplus else 1.0)
         self.part = OPEN_PART + (1 - OPEN_PART) * earns if side.at_door else 1.0  # of limits, open to it
         self.luck = side.chance.part()
         self.hops: list[Endpoint] = []
         self.out: dict[int, int] = {}  # hop number -> sent
-        self.anchor: Endpoint | None = None  # of the first hop that may have run
         self.anchor_us: int = 0
         self.closed = False
 
@@ -388,12 +391,12 @@
                  at_door: bool, round_us: int, come_back_us: int,
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
                  shares: Shares, copies: int, number: int, now: int, beside: bool = False) -> None:
-        self.beside = beside
+        self.beside = beside  # one client process, many copies
         self.chance = chance
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups = [Group([], 0, 0) for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
-        self.late = LATE_SHARE * tiers_to_go if not beside else 0.5  # latency in service goals past which a hop is late
+        self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
         self.usual_us, self.heard = now, 0
         self.last_tier = last_tier
@@ -412,7 +415,7 @@
         self.line_due_us = now  # the first leaves it then, if not before
         self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
         self.spill_us = now
-        self.flying: dict[tuple[Tx, int], int] = {}
+        self.due_us: dict[tuple[Tx, int], int] = {}  # hops out, and when they are overdue; beside only
         asking.born(now)
         self.wake_us = now
 
@@ -445,16 +448,9 @@
                 zoned[e.zone].append(e)
         # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
         wanted = max(LEAST_PART, -int(-FIRST_LIMIT * sum(len(z) for z in zoned) // self.copies))
-        old = self.groups
-        self.groups = [Group(z, self.start, wanted) for z in zoned]
-        for g, o in zip(self.groups, old):
-            g.share, g.hops, g.rate = o.share, o.hops, o.rate
+        old, self.groups = self.groups, [Group(z, self.start, wanted) for z in zoned]
         if self.beside:
-            self._widths()
-            if not old or not any(g.all for g in old):
-                total = sum(e.scale for g in self.groups for e in g.all)
-                for g in self.groups:
-                    g.share = min(SHARE_MOST, START * len(self.groups) * sum(e.scale for e in g.all) / max(1e-9, total))
+            self._carry_over(old)
         for zone, group in enumerate(self.groups):
             # How many copies use an endpoint, if all use so many; of the own zone only its own copies. Guards
             # against traffic that sits in one zone being held to the limits of an even spread.
@@ -464,6 +460,22 @@
                 e.limit = e.limit or FIRST_LIMIT / group.sharers
             group.choose(now)
 
+    def _carry_over(self, old: list[Group]) -> None:
+        """What was learned of each zone. A zone begins with what its endpoints carry of an even load. Guards
+        against all that comes up in a zone with few of them starting there."""
+        total = sum(e.scale for g in self.groups for e in g.all)
+        for group, was in zip(self.groups, old, strict=False):
+            group.admits, group.hops, group.hops_per_s = was.admits, was.hops, was.hops_per_s
+        for group in self.groups:
+            even = sum(e.scale for e in group.all) * len(self.groups) / max(1e-9, total)
+            group.admits = group.admits or min(ADMIT_MOST, even)
+        self._widen()
+
+    def _widen(self) -> None:
+        for zone, group in enumerate(self.groups):
+            least = USED_OWN if zone == self.order[0] else USED_OTHER
+            group.wanted = min(len(group.all), max(least, int(group.hops_per_s * USED_FOR_RATE)))
+
     def forget(self, ix: int) -> None:
         """It has left the list, and no hop to it is out."""
         del self.endpoints[ix]
@@ -481,18 +493,17 @@
 
     def take(self, now: int, profile: Profile, member: int, remaining_us: int) -> Tx:
         self.budget.take(now)
-        if self.beside:
-            self._overdue(now)
+        self._see_overdue(now)
         return Tx(self, profile, member, now, remaining_us)
 
     def wake(self, now: int) -> list[Decision]:
         if now - self.spill_us >= 1_000_000:
             self.spill_us = now
             if self.beside:
-                for g in self.groups:
-                    g.rate += (g.hops - g.rate) / 4
-                    g.hops = 0
-                self._widths()
+                for group in self.groups:
+                    group.hops_per_s += (group.hops - group.hops_per_s) / 4
+                    group.hops = 0
+                self._widen()
             for group in self.groups:
                 group.choose(now)
             self._adjust_spill(now)
@@ -502,11 +513,6 @@
             self.wake_us = min(self.wake_us, now + 4 * self.round_us, self.line_due_us)
         return decided
 
-    def _widths(self) -> None:
-        for zone, g in enumerate(self.groups):
-            least = LEAST_OWN if zone == self.order[0] else LEAST_OTHER
-            g.wanted = min(len(g.all), max(least, int(g.rate * WIDTH)))
-
     # What is decided
 
     def route(self, tx: Tx, now: int) -> list[Decision]:
@@ -531,8 +537,8 @@
             return []
         e.in_flight -= 1
         self.groups[e.zone].shift(e, 0.0, -1)
-        fresh = self.flying.pop((tx, hop), 0) > 0
-        self._judge(e, tx, now, how, latency_us, fresh)
+        told = self.due_us.pop((tx, hop), None) is None and self.beside  # that it was overdue
+        self._judge(e, tx, now, how, latency_us, told)
         decided: list[Decision] = []
         if how not in NEVER_RAN and how is not Outcome.COMMITTED and tx.anchor is None:
             tx.anchor, tx.anchor_us = e, now - latency_us
@@ -574,56 +580,57 @@
         if not tx.hops:
             self.shares.sent(tx.member, tx.surplus)
         e.in_flight += 1
-        self.groups[e.zone].hops += 1
         self.groups[e.zone].shift(e, 0.0, 1)
-        tx.out[len(tx.hops)] = now
+        self.groups[e.zone].hops += 1
         if self.beside:
-            self.flying[tx, len(tx.hops)] = now + int(self.late * tx.profile.service_goal_us)
+            self.due_us[tx, len(tx.hops)] = now + int(OVERDUE * tx.profile.service_goal_us)
+        tx.out[len(tx.hops)] = now
         tx.hops.append(e)
-        end_us = tx.end_us
-        if self.beside and not tx.profile.overdue and self.repeat_rule.may_roll_back_ever(tx.profile):
-            end_us = max(now + 1, min(end_us, tx.goal_us))
-        return (tx, HOP, e.ix, end_us - now)
+        return (tx, HOP, e.ix, tx.end_us - now)
 
     def _pick(self, tx: Tx, now: int) -> Endpoint | None:
         order = self.order
         if self.next_zone >= 0 and self.spill and self.chance.part() < self.spill:
             order = [self.next_zone, *(z for z in order if z != self.next_zone)]
-        if self.beside and len(order) > 2:
-            sizes = [self.groups[z].size * self.groups[z].share for z in order[1:]]
-            at = self.chance.part() * sum(sizes)
-            k = 0
-            while k < len(sizes) - 1 and at >= sizes[k]:
-                at -= sizes[k]
-                k += 1
-            order = [order[0], order[k + 1], *(z for z in order[1:] if z != order[k + 1])]
-        self.at_luck = tx.luck
+        elif self.beside:
+            order = self._shuffled(order)
+        luck = tx.luck
         # Those that fail are tried last, rather than not at all.
         for group in sorted((self.groups[zone] for zone in order), key=lambda g: g.failing):
+            if self.beside:
+                admitted = tx.part * group.admits
+                if luck >= admitted:
+                    luck = (luck - admitted) / (1 - admitted)  # anew between 0 and 1, for the next zone
+                    continue
             if (e := self._pick_in(group, tx, now)) is not None:
                 return e
         return None
 
+    def _shuffled(self, order: list[int]) -> list[int]:
+        """The own zone, then the others by chance, by their size and what they admit. Guards against all that
+        overflows from one zone pouring into the one that comes next."""
+        others, found = order[1:], order[:1]
+        while others:
+            weights = [self.groups[zone].size * self.groups[zone].admits for zone in others]
+            at, k = self.chance.part() * sum(weights), 0
+            while k < len(others) - 1 and at >= weights[k]:
+                at -= weights[k]
+                k += 1
+            found.append(others.pop(k))
+        return found
+
     def _pick_in(self, group: Group, tx: Tx, now: int) -> Endpoint | None:
         # A copy with nothing out may send one. Guards against that floor for each zone of many copies, which
         # alone crowds endpoints. Of a part between whole hops, what is above is open to so many of the
         # transactions, by their luck: else where limits are thin surplus has as much of them as any.
-        if self.beside:
-            if not group.use or self.at_luck >= tx.part * group.share:
-                p = tx.part * group.share
-                self.at_luck = (self.at_luck - p) / (1 - p) if p < 1 else 0.0
-                return None
         limit = group.limit if any(g.in_flight for g in self.groups) else max(1.0, group.limit)
-        if not self.beside and (not group.use or group.in_flight + 1 > tx.part * limit + tx.luck):
+        if not group.use or (not self.beside and group.in_flight + 1 > tx.part * limit + tx.luck):
             return None
         a = self._draw(group, tx, now, None)
         b = a and self._draw(group, tx, now, a)
         if not a or not b:
             return a
         if a.in_flight * b.scale == b.in_flight * a.scale:
-            if self.beside and a.latency and b.latency:
-                la, lb = a.latency**TIE, b.latency**TIE
-                return a if self.chance.part() * (la + lb) < lb else b
             return a if a.latency <= b.latency else b
         return a if a.in_flight * b.scale < b.in_flight * a.scale else b
 
@@ -650,42 +657,38 @@
 
     # What is learned
 
-    def _overdue(self, now: int) -> None:
-        for key in [k for k, due in self.flying.items() if due <= now]:
-            del self.flying[key]
-            e = key[0].hops[key[1]]
-            group = self.groups[e.zone]
+    def _see_overdue(self, now: int) -> None:
+        """Guards against hops at what is silent or choked telling so only when they end, seconds later."""
+        for tx, hop in [key for key, due in self.due_us.items() if due <= now]:
+            del self.due_us[tx, hop]
+            e = tx.hops[hop]
             if e.on:
-                was = e.succeeds(now)
-                e.heard_us = now
-                e.good -= e.good / MEMORY_BESIDE
-                e.latency += (1.0 - e.latency) / MEMORY if e.latency else 1.0
-                group.weigh(1.0)
+                was, e.heard_us = e.succeeds(now), now
+                e.good -= e.good / OUT_MEMORY
+                self.groups[e.zone].weigh(1.0)
                 if was is not e.succeeds(now):
-                    group.choose(now)
+                    self.groups[e.zone].choose(now)
 
-    def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int,
-               fresh: bool = True) -> None:
+    def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int, told: bool) -> None:
         if how in SILENT:
             return
         group = self.groups[e.zone]
         was = e.succeeds(now)
         e.heard_us = now
         took = latency_us / tx.profile.service_goal_us
+        # Guards against an endpoint that hangs, is full and so answers at once: it has nothing in flight.
         failed = how is not Outcome.COMMITTED and (self.beside or how is not Outcome.TURNED_AWAY)
-        if fresh or not failed or not self.beside:
-            e.good += ((0.0 if failed else 1.0) - e.good) / (MEMORY_BESIDE if self.beside else MEMORY)
+        if not (failed and told):
+            e.good += ((0.0 if failed else 1.0) - e.good) / (OUT_MEMORY if self.beside else MEMORY)
+        if self.beside and how is Outcome.UNREACHED:  # down, or its table of connections is full
+            e.dead_us = now + (LEFT_OUT_US << min(2, e.missed))
+        e.missed = e.missed + 1 if how is Outcome.UNREACHED else 0
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
         below = how is Outcome.ERROR and not self.last_tier
         # No crowding holds a hop that later ones have overtaken. Guards against limits that shrink to nothing
         # where answers get lost now and then.
         lost = how is Outcome.TIMED_OUT and e.prompt_us > now - latency_us
         crowded = (took > self.late and not lost) or how is Outcome.TURNED_AWAY or below
-        if self.beside and how is Outcome.UNREACHED:
-            e.dead_us = now + (LEFT_OUT_US << min(2, e.missed))
-            e.missed += 1
-        else:
-            e.missed = 0
         if how is Outcome.COMMITTED:
             self.cold_rule.carry(now)
             self._learn_usual(now, took)
@@ -697,8 +700,8 @@
         if was is not e.succeeds(now):
             group.choose(now)
         if self.beside:
-            if fresh and (crowded or how is Outcome.COMMITTED):
-              group.weigh(took if how is Outcome.COMMITTED else max(1.0, took))
+            if not told and (crowded or how is Outcome.COMMITTED):
+                group.weigh(took if how is Outcome.COMMITTED else max(1.0, took))
         elif crowded:
             if how is Outcome.TIMED_OUT or now - latency_us >= e.cut_us:
                 e.cut_us = now  # hops that were out together count once, but each time-out counts
--- a/cressrail/cli/launch.py
+++ b/cressrail/cli/launch.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from cressrail.outfit import parts
+from cressrail.outfit import parts, shape
 from cressrail.outfit.start import read_start
 from cressrail.outfit.told import Unfit, under
 
@@ -35,5 +35,8 @@
         print(f"cressrail: {fault}", file=sys.stderr)
         return 2
     print(f"{config}: sidecar {start.name} on {start.listen[0]}:{start.listen[1]}, {len(profiles)} profiles, "
-          f"{len(members)} members, {len(start.known.rows)} endpoints known")
+          f"{len(members)} members, {len(start.known.rows)} endpoints known, {start.shape}")
+    if start.shape == shape.MESH:
+        print(f"{config}: a connection carries one transaction at a time here, of the "
+              f"{start.told.word('limits.multiplex')} that limits.multiplex allows")
     return 0
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -18,6 +18,7 @@
     Sidecar,
     earnings,
 )
+from cressrail.outfit.shape import beside
 from cressrail.outfit.told import Told, Unfit
 
 KINDS = {"safe": IDEMPOTENT, "keyed": JOURNALLED, "unsafe": NON_IDEMPOTENT}
@@ -84,4 +85,4 @@
                            now),
         shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
         copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
-        beside=told.pairs.get("domain_type", "chain") != "chain")
+        beside=beside(told))
--- /dev/null
+++ b/cressrail/outfit/shape.py
@@ -0,0 +1,57 @@
+"""The shape of a deployment: which of the two is in force follows from the settings alone.
+
+Where services call services (`domain_type` chain, and wherever it is not told) a pool of sidecars stands
+before each tier. In a mesh each client process has a sidecar of its own before one fleet. The simulator may mix
+them at will, so the module's parts are made of any mixture; a configuration's file that mixes them was most
+likely put together from two, and is refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cressrail.outfit.told import Told, Unfit
+
+CHAIN, MESH = "chain", "mesh"
+MOST_STREAMS = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What the words of a shape imply: the bounds of whole numbers, and yes or no, by path."""
+
+    name: str
+    within: dict[str, tuple[int, int]]
+    stated: dict[str, bool]  # where they are told at all
+    needed: tuple[str, ...] = ()
+
+
+SHAPES = {
+    CHAIN: Shape(CHAIN, {"limits.multiplex": (1, 1)}, {"limits.probes": True}),
+    MESH: Shape(MESH, {"limits.multiplex": (2, MOST_STREAMS), "stage": (0, 0)}, {"limits.probes": False},
+                ("limits.multiplex", "limits.probes")),
+}
+
+
+def beside(told: Told) -> bool:
+    """Whether each client process has a sidecar of its own; of any mixture, as the adapter needs it."""
+    return told.pairs.get("domain_type", CHAIN) == MESH
+
+
+def checked(told: Told) -> Shape:
+    """Raises `Unfit` that names the first key which belongs to the other shape."""
+    name = told.pairs.get("domain_type", CHAIN)
+    if name not in SHAPES:
+        raise Unfit(f"domain_type is none of {', '.join(SHAPES)}: {name[:40]}")
+    shape = SHAPES[name]
+    for path in shape.needed:
+        if path not in told.pairs:
+            raise Unfit(f"{path} is missing, which domain_type {name} needs")
+    if name == MESH and len(told.names("tiers")) != 1:
+        raise Unfit(f"tiers does not go with domain_type {name}, which has one: {told.word('tiers')[:40]}")
+    for path, (least, most) in shape.within.items():
+        if path in told.pairs and not least <= (value := told.whole(path, 0)) <= most:
+            raise Unfit(f"{path} does not go with domain_type {name}: {value}")
+    for path, wanted in shape.stated.items():
+        if path in told.pairs and told.yes(path) is not wanted:
+            raise Unfit(f"{path} does not go with domain_type {name}: {told.pairs[path]}")
+    return shape
--- a/cressrail/outfit/start.py
+++ b/cressrail/outfit/start.py
@@ -10,6 +10,7 @@
 import orjson
 
 from cressrail.catalog.news import Junk, News, read
+from cressrail.outfit import shape
 from cressrail.outfit.told import Told, Unfit, under
 
 
@@ -25,6 +26,7 @@
     known: News
     told: Told
     around: Told  # what stands beside the settings
+    shape: str
 
 
 def read_start(path: str, env: Mapping[str, str] = os.environ) -> Start:
@@ -71,6 +73,9 @@
         known = read(config["known"]) if config.get("known") is not None else News(0, True)
     except Junk as fault:
         raise Unfit(f"known: {fault}") from None
+    unfolded = Told.nested(settings)
+    with under("settings."):
+        formed = shape.checked(unfolded)
     seed = told.word("seed")
     try:
         number = int(seed, 16)
@@ -81,8 +86,8 @@
         listen=_address("listen", env.get("BALANCER_LISTEN") or told.word("listen")),
         discovery=_address("discovery", env.get("BALANCER_DISCOVERY") or told.word("discovery")),
         seed=number, memory_mb=told.real("limits.memory_mb", 32, 1e9),
-        sockets=told.whole("limits.sockets", 32), known=known, told=Told.nested(settings), around=told,
-        filed=told.pairs.get("discovery", ""))
+        sockets=told.whole("limits.sockets", 32), known=known, told=unfolded, around=told,
+        filed=told.pairs.get("discovery", ""), shape=formed.name)
 
 
 def _address(path: str, text: str) -> tuple[str, int]:
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -61,7 +61,7 @@
     net.waker = loop.spawn(lambda: wake_task(net))
     log.note("start", {"listen": ":".join(map(str, start.listen)),
                        "discovery": ":".join(map(str, start.discovery)),
-                       "stage": start.told.whole("stage", 0),
+                       "shape": start.shape, "stage": start.told.whole("stage", 0),
                        "known": len(start.known.rows), "clients": reducer.room.clients,
                        "links": reducer.room.links})
     net.tell(reducer.start(now, start.known))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -86,6 +86,14 @@
         "tenants": [{"name": "acme", "allowance_per_s": 100.0, "share": 1.0}]}}
 
 
+def mesh(config: dict[str, Any] = CONFIG) -> dict[str, Any]:
+    """The same in the other shape: a sidecar of its own beside each client process."""
+    config = copy.deepcopy(config)
+    config["settings"].update(domain_type="mesh", n_instances=400)
+    config["settings"]["limits"].update(multiplex=100, probes=False)
+    return config
+
+
 class Peer:
     """One end of a connection, played by a script that is a task like any other."""
 
@@ -153,8 +161,9 @@
     when all clients' scripts have, and then checks that everything lent was given back."""
 
     def __init__(self, endpoints: list[Script], watch: Script | None = None, known: int | None = None,
-                 log: int | None = None, **limits: Any) -> None:
-        config = copy.deepcopy(CONFIG)
+                 log: int | None = None, shaped: Callable[..., dict[str, Any]] = copy.deepcopy,
+                 **limits: Any) -> None:
+        config = shaped(CONFIG)
         config["settings"]["limits"].update(limits)
         self.socks = [listener.bind("127.0.0.1", 0) for _ in [*endpoints, None]]
         self.ports = [sock.getsockname()[1] for sock in self.socks]
--- a/tests/test_outfit.py
+++ b/tests/test_outfit.py
@@ -12,10 +12,30 @@
 
 from cressrail.catalog.news import Junk, read_line
 from cressrail.cli.launch import look
-from cressrail.outfit import parts
+from cressrail.outfit import parts, shape
 from cressrail.outfit.start import read_start
 from cressrail.outfit.told import Told, Unfit
-from tests.helpers import CONFIG, member
+from cressrail.sockets.reread import Reread
+from tests.helpers import CONFIG, member, mesh
+
+
+class Heard:
+    """Stands for the sockets where a file is read again: what went into the log."""
+
+    def __init__(self) -> None:
+        self.said: list[str] = []
+        self.log = self
+
+    def note(self, event: str, told: dict[str, Any]) -> None:
+        self.said.append(event)
+
+
+def change(config: dict[str, Any], at: str, value: Any) -> None:
+    *way, last = at.split(".")
+    inner: Any = config
+    for name in way:
+        inner = inner[int(name) if name.isdigit() else name]
+    inner[last] = value
 
 
 def test_nested_settings_read_as_pairs() -> None:
@@ -50,11 +70,7 @@
 def test_a_setting_that_is_wrong_is_named_in_one_line(
         tmp_path: Path, capsys: pytest.CaptureFixture[str], at: str, value: Any, says: str) -> None:
     config = copy.deepcopy(CONFIG)
-    *way, last = at.split(".")
-    inner: dict[str, Any] = config
-    for name in way:
-        inner = inner[name]
-    inner[last] = value
+    change(config, at, value)
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
     assert look(str(path)) == 2
@@ -97,3 +113,54 @@
     assert [row.name for row in news.rows] == (["s1", "s2"] if readable else ["s2"])
     assert len(news.faults) == (0 if readable else 1)
     assert news.kept == ([] if readable or change.get("id", "s1") == 5 else [change.get("id", "s1")])
+
+
+@pytest.mark.parametrize("of, at, value, says", [
+    ("mesh", "limits.multiplex", 1, "limits.multiplex does not go with domain_type mesh: 1"),
+    ("mesh", "limits.multiplex", None, "limits.multiplex is missing, which domain_type mesh needs"),
+    ("mesh", "limits.probes", True, "limits.probes does not go with domain_type mesh: true"),
+    ("mesh", "limits.probes", None, "limits.probes is missing, which domain_type mesh needs"),
+    ("mesh", "tiers", ["x", "y"], "tiers does not go with domain_type mesh, which has one: x,y"),
+    ("mesh", "stage", 1, "stage does not go with domain_type mesh: 1"),
+    ("mesh", "domain_type", "chain", "limits.multiplex does not go with domain_type chain: 100"),
+    ("mesh", "domain_type", None, "limits.multiplex does not go with domain_type chain: 100"),
+    ("mesh", "domain_type", "ring", "domain_type is none of chain, mesh: ring"),
+    ("mesh", "profiles.0.overdue_revenue", 2, "profiles.0.overdue_revenue is not within 0 and 1: 2.0"),
+    ("chain", "domain_type", "mesh", "limits.multiplex is missing, which domain_type mesh needs"),
+    ("chain", "limits.multiplex", 100, "limits.multiplex does not go with domain_type chain: 100"),
+    ("chain", "limits.probes", False, "limits.probes does not go with domain_type chain: false")])
+def test_a_file_that_mixes_two_shapes_is_refused_by_its_key_at_start_and_on_sighup(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str], of: str, at: str, value: Any, says: str) -> None:
+    config = mesh() if of == "mesh" else copy.deepcopy(CONFIG)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    before = read_start(str(path), {})
+    change(config["settings"], at, value)
+    path.write_text(json.dumps(config))
+    assert look(str(path)) == 2
+    assert capsys.readouterr().err.startswith(f"cressrail: {path}: settings.{says}")
+    reread, net = Reread(str(path), before), Heard()
+    reread.now(net)  # type: ignore[arg-type]
+    assert net.said == ["config_kept"] and reread.start is before
+
+
+@pytest.mark.parametrize("told, name, beside", [
+    ({}, "chain", False),
+    ({"domain_type": "chain", "limits.multiplex": "1", "limits.probes": "true"}, "chain", False),
+    ({"domain_type": "mesh", "limits.multiplex": "9", "limits.probes": "false", "tiers": "x"}, "mesh", True)])
+def test_the_shape_follows_from_the_settings_alone(told: dict[str, str], name: str, beside: bool) -> None:
+    assert shape.checked(Told(told)).name == name and shape.beside(Told(told)) is beside
+
+
+@pytest.mark.parametrize("told", [{"domain_type": "mesh"}, {"domain_type": "proxy", "limits.multiplex": "9"}])
+def test_the_adapter_takes_any_mixture(told: dict[str, str]) -> None:
+    settings = {**Told.nested(CONFIG["settings"]).pairs, **told}
+    assert parts.tried(Told(settings), 1)
+
+
+def test_a_mesh_says_what_its_connections_carry(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(mesh()))
+    assert look(str(path)) == 0
+    said = capsys.readouterr().out
+    assert "endpoints known, mesh" in said and "one transaction at a time here, of the 100" in said
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import errno
 import json
 import os
@@ -23,7 +24,7 @@
 from cressrail.sockets.stream import Stream
 from cressrail.traffic import reducer
 from cressrail.traffic.reducer import FRESH_US, Room
-from tests.helpers import CONFIG, Peer, Play, Script, ask, chunk, member, reply
+from tests.helpers import CONFIG, Peer, Play, Script, ask, chunk, member, mesh, reply
 
 BIG = bytes(range(256)) * 256
 HEAD, CHUNKED = b"HTTP/1.1 200 OK\r\n", b"transfer-encoding: chunked\r\n\r\n"
@@ -594,3 +595,38 @@
 def test_the_command_line(words: list[str], code: int, says: str) -> None:
     done = subprocess.run([sys.executable, "-m", "cressrail", *words], capture_output=True, text=True)
     assert done.returncode == code and says in done.stdout + done.stderr
+
+
+@pytest.mark.parametrize("shaped, most", [(mesh, 2), (copy.deepcopy, 6)])
+def test_a_sidecar_beside_its_client_keeps_connections_to_few_endpoints(shaped: Any, most: int) -> None:
+    met: set[int] = set()
+
+    def endpoint(n: int) -> Script:
+        def script(peer: Peer) -> None:
+            met.add(n)
+            serving(reply(b"hello"))(peer)
+        return script
+
+    heard: list[bytes] = []
+
+    def client(peer: Peer) -> None:
+        for _ in range(40):
+            peer.say(ask())
+            heard.append(peer.hear()[9:12])
+            peer.take(5)
+
+    play = Play([endpoint(n) for n in range(6)], shaped=shaped)
+    play.client(client)
+    play.run()
+    assert heard == [b"200"] * 40 and len(met) == most
+
+
+@pytest.mark.parametrize("kind", ["read", "write", "note"])
+def test_beside_its_client_what_finds_no_connection_is_rolled_back_at_once(kind: str) -> None:
+    # As where endpoints' tables are full: a new connection is refused, so the hop surely never ran.
+    play = Play([serving(reply())] * 3, shaped=mesh)
+    for sock in play.socks[:3]:
+        sock.close()
+    started = play.loop.now()
+    assert asked(play, ask(kind)) == [b"503 "]
+    assert play.loop.now() - started < CONFIG["settings"]["profiles"][0]["service_goal_us"]
