--- a/cressrail/outfit/shape.py
+++ b/cressrail/outfit/shape.py
@@ -1,9 +1,9 @@
 """The shape of a deployment: which of the two is in force follows from the settings alone.
 
 Where services call services (`domain_type` chain, and wherever it is not told) a pool of sidecars stands
-before each tier. In a mesh each client process has a sidecar of its own before one fleet. The simulator may mix
-them at will, so the module's parts are made of any mixture; a configuration's file that mixes them was most
-likely put together from two, and is refused."""
+before each tier. In a mesh each client process has a sidecar of its own before one fleet. The simulator may
+mix them at will, so the module's parts are made of any mixture; a configuration's file that mixes them was
+most likely put together from two, and is refused."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,148 @@
+"""A sidecar of its own beside each client process: many copies, each with little traffic."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from cressrail.brain import Decision, Outcome, Profile, Sidecar, Tx
+from tests.helpers import SECOND, entry, profile, sidecar
+
+FLEET = [entry(n, n // 6) for n in range(12)]
+
+
+def beside(fleet: list[Any] = FLEET, **parts: Any) -> Sidecar:
+    return sidecar(fleet, **{"beside": True, "copies": 400, **parts})
+
+
+def send(side: Sidecar, now: int, how: Outcome = Outcome.COMMITTED, took_us: int = 50_000,
+         of: Profile | None = None) -> tuple[Tx, list[Decision], list[Decision]]:
+    """One transaction whose first hop, if it gets one, ends so; with what was decided at first and then."""
+    tx = side.take(now, of or profile(), -1, 4 * SECOND)
+    first = tx.route(now)
+    done = how is Outcome.COMMITTED
+    return tx, first, tx.ended(0, now + took_us, how, took_us, done) if first[0][1] == "hop" else []
+
+
+@pytest.mark.parametrize("sizes, admits", [((3, 3), (1.0, 1.0)), ((1, 3), (0.5, 1.5)), ((1, 9), (0.2, 1.8)),
+                                           ((0, 3), (0.0, 2.0))])
+def test_a_zone_starts_with_what_its_endpoints_carry_of_an_even_load(
+        sizes: tuple[int, int], admits: tuple[float, float]) -> None:
+    side = beside([entry(10 * zone + n, zone) for zone in (0, 1) for n in range(sizes[zone])])
+    assert [group.admits for group in side.groups] == pytest.approx(list(admits))
+
+
+@pytest.mark.parametrize("per_s, took, by", [
+    (0.0, 0.28, 1.0), (0.0, 0.14, 1.55), (0.0, 1.0, 0.5), (10.0, 0.14, 1.055), (10.0, 1.0, 0.898)])
+def test_a_latency_moves_what_a_zone_admits_more_where_hops_are_few(
+        per_s: float, took: float, by: float) -> None:
+    group = beside().groups[0]
+    group.hops_per_s, group.admits = per_s, 0.5
+    group.weigh(took)
+    assert group.admits == pytest.approx(0.5 * by, rel=0.01)
+
+
+def test_what_was_learned_of_a_zone_outlasts_a_list() -> None:
+    side = beside()
+    side.groups[0].admits, side.groups[0].hops_per_s = 0.3, 9.0
+    side.hear_list(0, [entry(20, 0)], False)
+    assert (side.groups[0].admits, side.groups[0].hops_per_s, side.groups[0].wanted) == (0.3, 9.0, 4)
+
+
+def test_what_no_zone_admits_is_answered_at_once_and_never_waits() -> None:
+    side = beside()
+    for group in side.groups:
+        group.admits = 0.05
+    answers = [side.take(n, profile(), -1, 4 * SECOND).route(n)[0][1] for n in range(200)]
+    assert not side.line and set(answers) == {"hop", "rolled back"} and answers.count("hop") < 40
+
+
+def test_zones_admit_apart_from_each_other() -> None:
+    side = beside()
+    for group in side.groups:
+        group.admits = 0.5
+    sent = [d[1] for n in range(400) for d in side.take(n, profile(), -1, 4 * SECOND).route(n)]
+    assert 270 < sent.count("hop") < 330  # three quarters: half here, and half of the rest there
+
+
+def test_what_overflows_goes_to_all_other_zones_by_their_size() -> None:
+    side = beside([entry(0, 0), *[entry(10 + n, 1) for n in range(2)], *[entry(20 + n, 2) for n in range(6)]],
+                  zones=3)
+    side.groups[0].admits = 0.0
+    first = [side._shuffled([0, 1, 2])[:2] for _ in range(400)]
+    assert {zones[0] for zones in first} == {0} and 40 < sum(zones[1] == 1 for zones in first) < 110
+
+
+@pytest.mark.parametrize("per_s, used", [(0.0, 2), (4.0, 2), (10.0, 5), (100.0, 6)])
+def test_a_copy_uses_as_many_endpoints_as_its_rate_asks_for(per_s: float, used: int) -> None:
+    # A connection stays open a minute, and 400 copies with twelve each filled tables of 85.
+    side = beside()
+    side.groups[0].hops_per_s, side.groups[0].hops = per_s, int(per_s)
+    side.wake(SECOND)
+    assert (len(side.groups[0].use), len(side.groups[1].use)) == (used, 1)
+
+
+def test_a_hop_that_is_overdue_tells_before_it_ends_and_only_once() -> None:
+    side = beside()
+    tx = side.take(0, profile(), -1, 4 * SECOND)
+    (_, _, ix, _), = tx.route(0)
+    before = side.groups[0].admits
+    side.take(SECOND // 2 - 1, profile(), -1, SECOND)
+    assert side.groups[0].admits == before
+    side.take(SECOND // 2, profile(), -1, SECOND)
+    cut, good = side.groups[0].admits, side.endpoints[ix].good
+    assert cut < before and good < 1.0
+    tx.ended(0, 4 * SECOND, Outcome.TIMED_OUT, 4 * SECOND, True)
+    assert (side.groups[0].admits, side.endpoints[ix].good, side.due_us) == (cut, good, {})
+
+
+def test_an_endpoint_that_is_full_answers_at_once_and_is_still_left_out() -> None:
+    side = beside()
+    e, group = side.endpoints[0], side.groups[0]
+    for _ in range(3):
+        tx = side.take(0, profile(), -1, 4 * SECOND)
+        tx.closed, tx.hops, tx.out, side.due_us = True, [e], {0: 0}, {(tx, 0): SECOND}
+        e.in_flight += 1
+        before = group.admits
+        tx.ended(0, 1000, Outcome.TURNED_AWAY, 1000, False)
+        assert group.admits < before
+    assert not e.succeeds(1000) and not e.inside
+
+
+@pytest.mark.parametrize("missed, left_out_us", [(1, 2.5e6), (2, 5e6), (3, 10e6), (9, 10e6)])
+def test_an_endpoint_without_a_connection_is_left_out_ever_longer(missed: int, left_out_us: float) -> None:
+    side = beside([entry(0)])
+    e = side.endpoints[0]
+    for _ in range(missed):
+        e.dead_us = 0
+        side.groups[0].choose(0)
+        before = side.groups[0].admits
+        send(side, 0, Outcome.UNREACHED, 1000)
+        assert side.groups[0].admits == before  # no word about crowding
+    assert e.dead_us == 1000 + left_out_us
+    e.dead_us = 0
+    side.groups[0].choose(0)
+    send(side, 0)
+    assert e.missed == 0
+
+
+@pytest.mark.parametrize("kind, group, overdue, own, ends_us", [
+    ("idempotent", "all", 0.0, True, 980_000), ("journalled", "all", 0.0, True, 980_000),
+    ("idempotent", "all", 0.3, True, 3_990_000), ("non-idempotent", "all", 0.0, True, 3_990_000),
+    ("journalled", "cell", 0.0, True, 3_990_000), ("idempotent", "all", 0.0, False, 3_990_000)])
+def test_a_hop_ends_at_the_goal_where_later_earns_nothing_and_a_rollback_is_allowed(
+        kind: str, group: str, overdue: float, own: bool, ends_us: int) -> None:
+    side = beside(beside=own, copies=1)
+    of = Profile(kind, group, 5 * SECOND, SECOND, 4 * SECOND, 1.0, overdue)
+    tx, first, then = send(side, 0, Outcome.TIMED_OUT, ends_us, of)
+    assert first[0][3] == ends_us
+    harmless = kind == "idempotent" or (kind, group) == ("journalled", "all")
+    assert [what for _, what, *_ in then] == ["rolled back" if harmless else "abandoned"]
+
+
+def test_the_old_shape_keeps_its_limits_in_flight_and_its_line() -> None:
+    side = sidecar([entry(0)])
+    side.endpoints[0].limit = side.groups[0].limit = 1.0
+    txs = [side.take(0, profile(), -1, 4 * SECOND) for _ in range(2)]
+    assert [len(tx.route(0)) for tx in txs] == [1, 0] and side.line == [txs[1]]
