--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -50,7 +50,7 @@
 LEFT_OUT_US = BUDGET_WINDOW_US // 4  # for so long one that died or fails gets nothing, then it is tried
 # Beside each client process:
 ADMIT_MOST, ADMIT_LEAST = 1 / OPEN_PART, 0.05  # of a zone's transactions, times what is open to each
-ADMIT_AIM = 0.28  # of the service goal: the geometric mean of latencies that a zone is held to
+ADMIT_AIM = 0.38  # of the service goal: the geometric mean of latencies that a zone is held to
 ADMIT_STEP = 0.8  # for a hop a second: how far a latency moves it, for its logarithm over the aim
 ADMIT_CUT = 0.5  # what one hop leaves of it at the least
 OVERDUE = 0.5  # of the service goal: a hop that is out for longer tells of crowding before it ends
