--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -55,6 +55,7 @@
 ADMIT_CUT = 0.5  # what one hop leaves of it at the least
 OVERDUE = 0.5  # of the service goal: a hop that is out for longer tells of crowding before it ends
 OUT_MEMORY = 4  # outcomes that an endpoint's record looks back on
+SURGE_US = BUDGET_WINDOW_US // 5  # of late, against the whole window
 USED_FOR_RATE = 0.5  # endpoints of a zone in use for each hop a second
 USED_OWN, USED_OTHER = 2, 1  # at the least; each is a connection, of which an endpoint takes few
 Decision = tuple["Tx", str, int, int]
@@ -211,6 +212,12 @@
         self.retried.append(now)
         return True
 
+    def surge(self, now: int, age_us: int) -> float:
+        """Transactions of late, for a second, over what the window holds of a second; one at the least."""
+        self._trim(now)
+        lately = (len(self.taken) - bisect_right(self.taken, now - SURGE_US)) / SURGE_US
+        return max(1.0, lately / max(1e-6, len(self.taken) / max(1, min(age_us, self.window_us))))
+
     def _trim(self, now: int) -> None:
         for times in (self.taken, self.retried):
             while times and times[0] <= now - self.window_us:
@@ -411,6 +418,7 @@
         self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
         self.at_door = at_door
         self.budget = RetryBudget()
+        self.surge = 1.0
         self.line: list[Tx] = []  # best earners first
         self.line_due_us = now  # the first leaves it then, if not before
         self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
@@ -504,6 +512,7 @@
                     group.hops_per_s += (group.hops - group.hops_per_s) / 4
                     group.hops = 0
                 self._widen()
+                self.surge = self.budget.surge(now, now - self.cold_rule.born_us)
             for group in self.groups:
                 group.choose(now)
             self._adjust_spill(now)
@@ -598,7 +607,8 @@
         # Those that fail are tried last, rather than not at all.
         for group in sorted((self.groups[zone] for zone in order), key=lambda g: g.failing):
             if self.beside:
-                admitted = tx.part * group.admits
+                # Guards against a burst, or clients' repeats, that get through until late hops tell.
+                admitted = tx.part * group.admits / self.surge
                 if luck >= admitted:
                     luck = (luck - admitted) / (1 - admitted)  # anew between 0 and 1, for the next zone
                     continue
@@ -607,17 +617,12 @@
         return None
 
     def _shuffled(self, order: list[int]) -> list[int]:
-        """The own zone, then the others by chance, by their size and what they admit. Guards against all that
-        overflows from one zone pouring into the one that comes next."""
-        others, found = order[1:], order[:1]
-        while others:
-            weights = [self.groups[zone].size * self.groups[zone].admits for zone in others]
-            at, k = self.chance.part() * sum(weights), 0
-            while k < len(others) - 1 and at >= weights[k]:
-                at -= weights[k]
-                k += 1
-            found.append(others.pop(k))
-        return found
+        """The own zone, then the others by chance, by size and what they admit (Efraimidis and Spirakis).
+        Guards against all that overflows from one zone pouring into the one that comes next."""
+        def luck(zone: int) -> float:
+            weight = self.groups[zone].size * self.groups[zone].admits
+            return -self.chance.part() ** (1 / weight) if weight else 0.0
+        return order[:1] + sorted(order[1:], key=luck)
 
     def _pick_in(self, group: Group, tx: Tx, now: int) -> Endpoint | None:
         # A copy with nothing out may send one. Guards against that floor for each zone of many copies, which
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cressrail.brain import Decision, Outcome, Profile, Sidecar, Tx
+from cressrail.brain import ADMIT_AIM, ColdRule, Decision, Outcome, Profile, Sidecar, Tx
 from tests.helpers import SECOND, entry, profile, sidecar
 
 FLEET = [entry(n, n // 6) for n in range(12)]
@@ -33,13 +33,13 @@
     assert [group.admits for group in side.groups] == pytest.approx(list(admits))
 
 
-@pytest.mark.parametrize("per_s, took, by", [
-    (0.0, 0.28, 1.0), (0.0, 0.14, 1.55), (0.0, 1.0, 0.5), (10.0, 0.14, 1.055), (10.0, 1.0, 0.898)])
+@pytest.mark.parametrize("per_s, over, by", [
+    (0.0, 1, 1.0), (0.0, 0.5, 1.55), (0.0, 4, 0.5), (10.0, 0.5, 1.055), (10.0, 4, 0.889)])
 def test_a_latency_moves_what_a_zone_admits_more_where_hops_are_few(
-        per_s: float, took: float, by: float) -> None:
+        per_s: float, over: float, by: float) -> None:
     group = beside().groups[0]
     group.hops_per_s, group.admits = per_s, 0.5
-    group.weigh(took)
+    group.weigh(over * ADMIT_AIM)
     assert group.admits == pytest.approx(0.5 * by, rel=0.01)
 
 
@@ -146,3 +146,19 @@
     side.endpoints[0].limit = side.groups[0].limit = 1.0
     txs = [side.take(0, profile(), -1, 4 * SECOND) for _ in range(2)]
     assert [len(tx.route(0)) for tx in txs] == [1, 0] and side.line == [txs[1]]
+
+
+@pytest.mark.parametrize("calm, lately, surge", [(80, 10, 1.0), (80, 100, 2.78), (0, 1, 1.0), (0, 30, 5.0)])
+def test_a_surge_of_a_copys_own_transactions_cuts_what_zones_admit_at_once(
+        calm: int, lately: int, surge: float) -> None:
+    side = beside(cold_rule=ColdRule(0.2, 10 * SECOND, -SECOND))
+    for n in range(calm):
+        side.take(n * SECOND // 10, profile(), -1, SECOND)
+    for n in range(lately):
+        side.take(8 * SECOND + n * 2 * SECOND // lately + 1, profile(), -1, SECOND)
+    side.wake(10 * SECOND)
+    assert side.surge == pytest.approx(surge, rel=0.01)
+    side.groups[0].admits, side.groups[1].admits = 1.0, 0.0
+    sent = sum(d[1] == "hop" for n in range(400)
+               for d in side.take(10 * SECOND, profile(), -1, SECOND).route(10 * SECOND))
+    assert sent == pytest.approx(400 / surge, rel=0.2)
