--- a/tests/test_outfit.py
+++ b/tests/test_outfit.py
@@ -164,3 +164,9 @@
     assert look(str(path)) == 0
     said = capsys.readouterr().out
     assert "endpoints known, mesh" in said and "one transaction at a time here, of the 100" in said
+
+
+@pytest.mark.parametrize("name, formed", [("config", "chain"), ("mesh", "mesh")])
+def test_the_examples_are_of_the_shape_they_say(name: str, formed: str) -> None:
+    path = Path(__file__).parent.parent / "example" / f"{name}.json"
+    assert look(str(path)) == 0 and read_start(str(path), {}).shape == formed
