--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -133,7 +133,6 @@
     good: float = 1.0  # share of hops that the endpoint did not fail
     heard_us: int = -1
     dead_us: int = 0  # until then its process counts as gone
-    missed: int = 0  # connections in a row that did not come up
     inside: bool = False  # of the part of its group that is in use
     cold_credit: float = 0.0
     cold_us: int = 0
@@ -686,8 +685,7 @@
         if not (failed and told):
             e.good += ((0.0 if failed else 1.0) - e.good) / (OUT_MEMORY if self.beside else MEMORY)
         if self.beside and how is Outcome.UNREACHED:  # down, or its table of connections is full
-            e.dead_us = now + (LEFT_OUT_US << min(2, e.missed))
-        e.missed = e.missed + 1 if how is Outcome.UNREACHED else 0
+            e.dead_us = now + LEFT_OUT_US
         # An error of a tier that calls on: guards against first tries that pour on into what chokes below.
         below = how is Outcome.ERROR and not self.last_tier
         # No crowding holds a hop that later ones have overtaken. Guards against limits that shrink to nothing
