Zones start with a quarter of their even part; overflow goes by the size of whole zones

A quarter is kept.

A test of the draw of zones showed that it weighed the endpoints in use there, one or two each, and not the zone: it weighs the zone now.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -53,6 +53,7 @@
 ADMIT_AIM = 0.38  # of the service goal: the geometric mean of latencies that a zone is held to
 ADMIT_STEP = 0.8  # for a hop a second: how far a latency moves it, for its logarithm over the aim
 ADMIT_CUT = 0.5  # what one hop leaves of it at the least
+ADMIT_START = 0.25  # of the even part: connections that all come up in the first second are work as well
 OVERDUE = 0.5  # of the service goal: a hop that is out for longer tells of crowding before it ends
 OUT_MEMORY = 4  # outcomes that an endpoint's record looks back on
 SURGE_US = BUDGET_WINDOW_US // 5  # of late, against the whole window
@@ -147,6 +148,7 @@
 
     def __init__(self, all_of_it: list[Endpoint], start: int, wanted: int) -> None:
         self.all = sorted(all_of_it, key=lambda e: e.place)
+        self.whole = sum(e.scale for e in self.all)
         self.start = start * len(self.all) >> 32
         self.wanted = min(wanted, len(self.all))
         self.use: list[Endpoint] = []
@@ -468,14 +470,14 @@
             group.choose(now)
 
     def _carry_over(self, old: list[Group]) -> None:
-        """What was learned of each zone. A zone begins with what its endpoints carry of an even load. Guards
-        against all that comes up in a zone with few of them starting there."""
-        total = sum(e.scale for g in self.groups for e in g.all)
+        """What was learned of each zone. It begins with a part of what its endpoints carry of an even load.
+        Guards against all of a zone's traffic starting at few endpoints, and at once, which chokes them."""
+        total = sum(group.whole for group in self.groups)
         for group, was in zip(self.groups, old, strict=False):
             group.admits, group.hops, group.hops_per_s = was.admits, was.hops, was.hops_per_s
         for group in self.groups:
-            even = sum(e.scale for e in group.all) * len(self.groups) / max(1e-9, total)
-            group.admits = group.admits or min(ADMIT_MOST, even)
+            even = group.whole * len(self.groups) / max(1e-9, total)
+            group.admits = group.admits or min(ADMIT_MOST, ADMIT_START * even)
         self._widen()
 
     def _widen(self) -> None:
@@ -619,7 +621,7 @@
         """The own zone, then the others by chance, by size and what they admit (Efraimidis and Spirakis).
         Guards against all that overflows from one zone pouring into the one that comes next."""
         def luck(zone: int) -> float:
-            weight = self.groups[zone].size * self.groups[zone].admits
+            weight = self.groups[zone].whole * self.groups[zone].admits
             return -self.chance.part() ** (1 / weight) if weight else 0.0
         return order[:1] + sorted(order[1:], key=luck)
 
