A door for operators: ready, counters, out of and in service; a drain empties the sidecar

Cause: no second address was listened on, so calls were refused; nothing told the front to go elsewhere nor closed connections that clients kept. Change: sockets/ops.py beside the clients' door, calling Reducer.control; counts in traffic/tally.py, changed where an answer becomes final; Sidecar.avoids says which listed endpoints get nothing now; a drain makes each answer the last on its connection and closes idle ones after half a second. Ruled out: the drain closing at once (clients would come back before the front has seen the no).

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -1,9 +1,7 @@
 """Every decision cressrail makes for one sidecar. It knows no wire, no clock and no other sidecar.
 
-How to call it (docs/interface.md has the whole): build a `Sidecar` from its parts; feed it the list with
-`hear_list`; `take` gives a `Tx` handle, and `route`, `under_way`, `ended` and `vanished` on that handle say
-what befalls it. Each call returns the decisions taken, as tuples (tx, what, endpoint or hop, microseconds);
-`wake` is due at `wake_us`. Times are whole microseconds; endpoints, zones and members are small indices.
+docs/interface.md tells how to call it. Calls return the decisions taken, as tuples (tx, what, endpoint or
+hop, microseconds). Times are whole microseconds; endpoints, zones and members are small indices.
 
 The design: retries only of claimed errors inside a budget, zone groups with the own zone first, two random
 choices by own hops in flight. Mechanisms beside it (six at most):
@@ -484,6 +482,10 @@
             least = USED_OWN if zone == self.order[0] else USED_OTHER
             group.wanted = min(len(group.all), max(least, int(group.hops_per_s * USED_FOR_RATE)))
 
+    def avoids(self, now: int) -> list[int]:
+        """Endpoints that get nothing now, or only where nothing else is left: off, gone or failing."""
+        return [e.ix for e in self.endpoints.values() if not e.on or not e.succeeds(now)]
+
     def forget(self, ix: int) -> None:
         """It has left the list, and no hop to it is out."""
         del self.endpoints[ix]
--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -43,6 +43,16 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def parts_of(first: bytes) -> tuple[bytes, bytes]:
+    """Method and target of a request's first line."""
+    parts = first.split(b" ")
+    if len(parts) != 3 or not TOKEN.match(parts[0]) or not TARGET.match(parts[1]):
+        raise Malformed(400, "first line that is none")
+    if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise Malformed(400, "neither HTTP/1.1 nor HTTP/1.0")
+    return parts[0], parts[1]
+
+
 class RequestReader:
     """Fed with what comes; `whole` is the request once it is."""
 
@@ -69,18 +79,14 @@
         return used
 
     def _begin(self, first: bytes, fields: Fields) -> None:
-        parts = first.split(b" ")
-        if len(parts) != 3 or not TOKEN.match(parts[0]) or not TARGET.match(parts[1]):
-            raise Malformed(400, "first line that is none")
-        if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
-            raise Malformed(400, "neither HTTP/1.1 nor HTTP/1.0")
+        method, target = parts_of(first)
         named = [name for name, _ in fields if name.startswith(ONCE)] if fields.twice else []
         options = words(fields, b"connection")
         # Guards against an endpoint that reads another request than the one decided on.
         if len(named) > len(set(named)) or any(word.startswith(ONCE) for word in options):
             raise Malformed(400, "fields that may be read in two ways")
-        keep = b"close" not in options and (parts[2] == b"HTTP/1.1" or b"keep-alive" in options)
-        self._head = Request(parts[0], parts[1], fields, self.chain, keep)
+        keep = b"close" not in options and (first.endswith(b"1") or b"keep-alive" in options)
+        self._head = Request(method, target, fields, self.chain, keep)
         size, codings = length(fields), words(fields, b"transfer-encoding")
         if codings and (size is not None or codings != [b"chunked"]):
             raise Malformed(400, "framing that may be read in two ways")
--- a/cressrail/outfit/start.py
+++ b/cressrail/outfit/start.py
@@ -27,6 +27,7 @@
     told: Told
     around: Told  # what stands beside the settings
     shape: str
+    ops: tuple[str, int] | None = None  # where operators call, if anywhere
 
 
 def read_start(path: str, env: Mapping[str, str] = os.environ) -> Start:
@@ -81,9 +82,13 @@
         number = int(seed, 16)
     except ValueError:
         raise Unfit(f"seed is no hexadecimal number: {seed[:40]}") from None
+    listen = _address("listen", env.get("BALANCER_LISTEN") or told.word("listen"))
+    ops = env.get("BALANCER_OPS") or told.pairs.get("ops")
+    if ops is not None and _address("ops", ops) == listen:
+        raise Unfit(f"ops is the same as listen: {ops[:60]}")
     return Start(
-        name=env.get("BALANCER_NAME") or told.word("name"),
-        listen=_address("listen", env.get("BALANCER_LISTEN") or told.word("listen")),
+        name=env.get("BALANCER_NAME") or told.word("name"), listen=listen,
+        ops=None if ops is None else _address("ops", ops),
         discovery=_address("discovery", env.get("BALANCER_DISCOVERY") or told.word("discovery")),
         seed=number, memory_mb=told.real("limits.memory_mb", 32, 1e9),
         sockets=told.whole("limits.sockets", 32), known=known, told=unfolded, around=told,
--- a/cressrail/sockets/link.py
+++ b/cressrail/sockets/link.py
@@ -108,6 +108,7 @@
             return End(Outcome.UNREACHED, str(fault) or "not written in time")
         except Called:
             return End(Outcome.CALLED_OFF)
+        self.net.reducer.hop_written()
         return self._answer(job, stream, reader)
 
     def _prepare(self, job: Carry) -> None:
--- /dev/null
+++ b/cressrail/sockets/ops.py
@@ -0,0 +1,120 @@
+"""The operators' door: a second address, one call to a connection. It needs no buffer of the pool, holds
+descriptors of its own, and its tasks go before others in a round, so that it answers however full the
+sidecar is."""
+
+from __future__ import annotations
+
+import socket
+
+from cressrail.http1.answer import REASONS
+from cressrail.http1.head import Malformed, split_head
+from cressrail.http1.request import parts_of
+from cressrail.loop.scheduler import MAIL, READ, WRITE, Task
+from cressrail.sockets.net import Net
+from cressrail.traffic.control import Told
+
+CALLS = 8  # at once; the oldest that is unfinished makes room for one more
+DESCRIPTORS = CALLS + 2  # the listening one, and one amid being taken in
+UNFINISHED_US = 2_000_000  # a call may take so long from its connection to the end of its head,
+READ_ON_US = 500_000  # and so long after its answer what still comes is read off
+PIECE = 4096
+HANG_UP = "hang up"
+
+
+class OpsTask:
+    """The listener, and the calls that are open."""
+
+    def __init__(self, net: Net, sock: socket.socket) -> None:
+        self.net = net
+        self.sock = sock
+        self.calls: dict[Task, None] = {}  # the oldest first
+
+    def run(self) -> None:
+        try:
+            while True:
+                if self.net.loop.wait(self.sock.fileno(), READ) == MAIL:
+                    return
+                self._accept()
+        finally:
+            self.sock.close()
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self.sock.accept()
+        except OSError:  # it has left, or the system is short: looked at again next round
+            return
+        if len(self.calls) >= CALLS:
+            # Guards against callers that finish no call keeping out those who would.
+            oldest = next(iter(self.calls))
+            del self.calls[oldest]
+            self.net.loop.post(oldest, HANG_UP)
+        call = Call(self, sock)
+        self.calls[self.net.loop.spawn(call.run, first=True)] = None
+
+
+class Call:
+    def __init__(self, door: OpsTask, sock: socket.socket) -> None:
+        self.door = door
+        self.net = door.net
+        self.sock = sock
+        sock.setblocking(False)
+
+    def run(self) -> None:
+        task = self.net.loop.current
+        assert task is not None
+        try:
+            told = self._asked()
+            if told is not None:
+                self._say(told)
+        except OSError:
+            pass
+        finally:
+            self.door.calls.pop(task, None)
+            self.sock.close()
+
+    def _asked(self) -> Told | None:
+        """What the call is answered; nothing for one that is not whole in time or leaves."""
+        text, until_us = bytearray(), self.net.now() + UNFINISHED_US
+        while True:
+            data = self._more(until_us)
+            if not data:
+                return None
+            text += data
+            try:
+                found = split_head(memoryview(text), False)
+                if found is None:
+                    continue
+                method, target = parts_of(found[1])
+            except Malformed as fault:
+                return Told(400, f"{fault}\n".encode())
+            told, effects = self.net.reducer.control(self.net.now(), method, target.partition(b"?")[0])
+            self.net.tell(effects)
+            return told
+
+    def _more(self, until_us: int) -> bytes:
+        while True:
+            try:
+                return self.sock.recv(PIECE)
+            except BlockingIOError:
+                if self.net.loop.wait(self.sock.fileno(), READ, until_us) in (MAIL, 0):
+                    return b""
+
+    def _say(self, told: Told) -> None:
+        lines = [b"HTTP/1.1 %d %s" % (told.status, REASONS.get(told.status, b"-")),
+                 b"content-type: " + told.kind, b"content-length: %d" % len(told.body),
+                 b"cache-control: no-store", b"connection: close"]
+        if told.allow:
+            lines.append(b"allow: " + told.allow)
+        left = memoryview(b"\r\n".join(lines) + b"\r\n\r\n" + told.body)
+        until_us = self.net.now() + UNFINISHED_US
+        while left:
+            try:
+                left = left[self.sock.send(left):]
+            except BlockingIOError:
+                if self.net.loop.wait(self.sock.fileno(), WRITE, until_us) in (MAIL, 0):
+                    return
+        # Guards against a close with bytes unread, which would reset the answer on its way.
+        self.sock.shutdown(socket.SHUT_WR)
+        until_us = self.net.now() + READ_ON_US
+        while self._more(until_us):
+            pass
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -12,7 +12,7 @@
 from cressrail.loop.scheduler import Scheduler
 from cressrail.outfit import parts
 from cressrail.outfit.start import Start
-from cressrail.sockets import listener
+from cressrail.sockets import listener, ops
 from cressrail.sockets.link import LinkTask
 from cressrail.sockets.net import Net
 from cressrail.sockets.reread import Reread
@@ -28,10 +28,10 @@
 ANSWER_PARTS = 8  # one such part of the buffers is the most that an answer may take
 
 
-def room(sockets: int) -> Room:
-    """Each side gets a part, so that neither can crowd the other out."""
+def room(sockets: int, aside: int = 0) -> Room:
+    """Each side gets a part, so that neither can crowd the other out; `aside` go to nobody."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    both = max(16, min(sockets, soft if soft > 0 else sockets) - SPARE)
+    both = max(16, min(sockets, soft if soft > 0 else sockets) - SPARE - aside)
     surplus = max(4, both // 16)
     return Room(clients=both // 2 - surplus, surplus=surplus, links=both // 2)
 
@@ -48,18 +48,21 @@
     now = clock.now()
     sidecar = parts.sidecar(start.told, start.seed, now, list(roster.zones), list(members.values()))
     reducer = Reducer(sidecar, profiles, {member: n for n, member in enumerate(members)}, roster,
-                      room(start.sockets), Chance(start.seed ^ 1), now,
+                      room(start.sockets, ops.DESCRIPTORS if start.ops else 0), Chance(start.seed ^ 1), now,
                       longest_us := max(p.hard_limit_us for p in profiles.values()), start.discovery)
     pool = Pool(int(start.memory_mb * BUFFERS_SHARE * (1 << 20)) // SIZE)
     connect_us, idle_us = parts.waits(start.told)
     net = Net(loop, pool, reducer, log, connect_us=connect_us, idle_us=idle_us, patience_us=longest_us,
               answer_most=pool.most * SIZE // ANSWER_PARTS)
     door = listener.ListenerTask(net, listener.bind(*start.listen))
+    if start.ops:
+        loop.spawn(ops.OpsTask(net, listener.bind(*start.ops)).run, first=True)
     net.start_link = lambda number: LinkTask(net, number).run
     net.watch = loop.spawn(WatchTask(net).run, first=True)
     net.listener = loop.spawn(door.run)
     net.waker = loop.spawn(lambda: wake_task(net))
     log.note("start", {"listen": ":".join(map(str, start.listen)),
+                       "ops": ":".join(map(str, start.ops)) if start.ops else None,
                        "discovery": ":".join(map(str, start.discovery)),
                        "shape": start.shape, "stage": start.told.whole("stage", 0),
                        "known": len(start.known.rows), "clients": reducer.room.clients,
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -16,9 +16,11 @@
 from cressrail.http1.answer import Answer
 from cressrail.http1.figures import span_us
 from cressrail.http1.request import Request
+from cressrail.traffic import control
 from cressrail.traffic import effects as do
 from cressrail.traffic.effects import Effect
 from cressrail.traffic.roster import Address, Roster
+from cressrail.traffic.tally import Tally
 
 READY_WITHOUT_NEWS_US = 500_000  # a start whose discovery is silent goes by the list it was given
 STOP_LEAST_US = 600_000  # clients still come so long after a stop was asked for,
@@ -30,6 +32,7 @@
 AGAIN_DOUBLINGS = 4
 FRESH_US = 1_000_000  # a client may take so long to begin, or to end, a request before it may be closed
 SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
+DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
 HEALTH = b"/_health"
 
 
@@ -110,6 +113,9 @@
         self.hang_up_us = -1  # of a stop: closing, from then on
         self.end_us = -1  # of a stop, whoever has not finished by then
         self.left = False
+        self.drain_us = -1  # out of service since then
+        self.drained = False  # idle clients have been closed for it
+        self.tally = Tally(profiles)
         self.wake_us = -1
 
     # The list
@@ -188,19 +194,20 @@
         if kind is None and request.path != b"/api":
             return self._reply(now, client, 404, request.body)
         profile = self.profiles.get(kind or "")
+        counted = kind if profile is not None else None
         span = request.get(b"req-deadline")
         name = request.get(b"req-id")
         if profile is None or not name:
-            return self._reply(now, client, 400, request.body)
+            return self._reply(now, client, 400, request.body, counted)
         limit_us = span_us(span) if span is not None else profile.hard_limit_us
         if limit_us is None or name in self.open_ids:  # an id is of one request only
-            return self._reply(now, client, 400, request.body)
+            return self._reply(now, client, 400, request.body, counted)
         limit_us = min(limit_us, profile.hard_limit_us)
         if not self.door:  # guards against a transaction taken late in a stop that is cut off unanswered
             limit_us = min(limit_us, self.hang_up_us + self._last_us() - STOP_SPARE_US - now)
         if held.surplus:
             return [do.Note("no_room", {"side": "clients", "open": len(self.clients)}),
-                    *self._reply(now, client, 503, request.body)]
+                    *self._reply(now, client, 503, request.body, counted)]
         if profile.kind == brain.JOURNALLED and not request.get(b"idempotency-key"):
             # Guards against a repeat that nothing marks as one.
             profile = replace(profile, kind=NON_IDEMPOTENT)
@@ -244,6 +251,10 @@
         at = self.roster.addresses[held.endpoint]
         return self.sidecar.endpoints[held.endpoint].on and (at.host, at.port) == (host, port)
 
+    def hop_written(self) -> None:
+        """Its last byte has gone to its endpoint."""
+        self.tally.sends += 1
+
     def hop_ended(self, now: int, hop: int, how: Outcome, keep: bool, body: Chain | None = None,
                   kind: bytes = b"", why: str = "", refused: bool = False) -> list[Effect]:
         """`keep`: the link it went over may carry another. `refused`: its endpoint let none come up."""
@@ -290,6 +301,41 @@
             out.append(self._shut_idle(idle))
         return self._out(now, out)
 
+    # The operators' calls
+
+    def control(self, now: int, method: bytes, path: bytes) -> tuple[control.Told, list[Effect]]:
+        told = control.refused(method, path)
+        if told is not None:
+            return told, []
+        if path == control.COUNTERS:
+            return control.Told(200, self._figures(now)), []
+        if path == control.READY:
+            fit = self.can_serve(now) and self.stop_us < 0
+            return control.Told(200 if fit else 503, b"ready\n" if fit else b"not ready\n"), []
+        if path == control.OUT:
+            return control.Told(200, b"out of service\n"), self._out_of_service(now)
+        return control.Told(200, b"in service\n"), self._in_service(now)
+
+    def _figures(self, now: int) -> bytes:
+        addresses = self.roster.addresses
+        listed = sum(not at.row.gone for at in addresses.values())
+        avoided = sum(not addresses[ix].row.gone for ix in self.sidecar.avoids(now) if ix in addresses)
+        return self.tally.text(len(self.open_ids), listed, avoided)
+
+    def _out_of_service(self, now: int) -> list[Effect]:
+        """Those who come are still served, each answer the last on its connection; health says no."""
+        if self.drain_us >= 0:
+            return []
+        self.drain_us = now
+        return self._out(now, [do.Note("out_of_service", {"clients": len(self.clients),
+                                                          "txs": len(self.txs)})])
+
+    def _in_service(self, now: int) -> list[Effect]:
+        if self.drain_us < 0:
+            return []
+        self.drain_us, self.drained = -1, False
+        return self._out(now, [do.Note("in_service", {"clients": len(self.clients)})])
+
     # Time and the end
 
     def woke(self, now: int) -> list[Effect]:
@@ -305,8 +351,12 @@
             self.closing = True
             self.end_us = now + self.longest_us
             out += [self._shut_idle(client) for client in list(self.idle_clients)]
+        if self.drain_us >= 0 and not self.drained and now >= self.drain_us + DRAIN_IDLE_US:
+            # Not sooner: until the front has seen the no, who is closed would only come again.
+            self.drained = True
+            out += [self._shut_idle(client) for client in list(self.idle_clients)]
         # Guards against those that say nothing, or never end a request, for as long as they like.
-        most_us = SILENT_US if self.door else FRESH_US
+        most_us = SILENT_US if self._stays() else FRESH_US
         silent = [client for client, came_us in self.fresh_clients.items() if came_us + most_us <= now]
         out += [self._shut_idle(client) for client in silent]
         return self._out(now, out)
@@ -319,8 +369,12 @@
         return self._out(now, [do.Note("stopping", {"clients": len(self.clients), "txs": len(self.txs)})])
 
     def ready(self, now: int) -> bool:
+        """What the front is told: whether to deal out clients to this sidecar."""
+        return self.can_serve(now) and self.stop_us < 0 and self.drain_us < 0
+
+    def can_serve(self, now: int) -> bool:
         known = bool(self.roster.addresses) and now - self.born_us >= READY_WITHOUT_NEWS_US
-        return (self.heard_news or known) and self.stop_us < 0
+        return self.heard_news or known
 
     # Within
 
@@ -350,11 +404,19 @@
         ask for last may take."""
         return min(self.longest_us, STOP_KILLED_US) // 2
 
+    def _stays(self) -> bool:
+        """Neither emptied nor at its end: clients may keep their connections."""
+        return self.door and self.drain_us < 0
+
     def _last(self, held: Client) -> bool:
-        return self.closing or held.surplus or not held.keep
+        return self.closing or self.drain_us >= 0 or held.surplus or not held.keep
 
-    def _reply(self, now: int, client: int, status: int, body: Chain | None) -> list[Effect]:
+    def _reply(self, now: int, client: int, status: int, body: Chain | None,
+               counted: str | None = None) -> list[Effect]:
+        """Without a transaction; `counted` is the profile that it stands under in the figures."""
         held = self.clients[client]
+        if counted is not None:
+            self.tally.ended(counted, status)
         out: list[Effect] = [do.GiveBack(body)] if body else []
         return self._out(now, [*out, do.Write(client, Answer(status), self._last(held))])
 
@@ -362,6 +424,7 @@
         client = self.txs[tx].client
         held = self.clients[client]
         held.tx = None
+        self.tally.ended(self.txs[tx].request.get(b"req-kind") or "", answer.status)
         self._shut_id(tx)
         return [do.Write(client, answer, self._last(held))]
 
@@ -468,8 +531,10 @@
         if self.stop_us >= 0:
             wake_us = min(wake_us, self._close_us() if self.door else
                           self.end_us if self.closing else self.hang_up_us)
+        if self.drain_us >= 0 and not self.drained:
+            wake_us = min(wake_us, self.drain_us + DRAIN_IDLE_US)
         if self.fresh_clients:
-            most_us = SILENT_US if self.door and self.listening else FRESH_US
+            most_us = SILENT_US if self._stays() and self.listening else FRESH_US
             wake_us = min(wake_us, next(iter(self.fresh_clients.values())) + most_us)
         if wake_us != self.wake_us:
             self.wake_us = wake_us
