A second process takes over the listening socket and what the first one knew

Cause: the address was bound by the first process, so the second one exited with 1, a crash. Change: package handover/ (frames with version and check sum, the estate) and sockets/elder.py, heir.py: the second process gets the list and the listening socket over a Unix socket under TMPDIR, asks for the estate once it can serve, and only then takes clients and says ready. Retry budget, credit of cold endpoints and open ids go over whole (Sidecar.cede); descriptors and buffers that the first one keeps are taken off the second's until it ends. The first one's answers are the last on their connections. SO_REUSEPORT where there is nobody to meet. Tests kill either side, spoil the estate, upgrade twice, leave TMPDIR out.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -198,6 +198,7 @@
         self.window_us = window_us
         self.taken: deque[int] = deque()
         self.retried: deque[int] = deque()
+        self.ceded = False
 
     def take(self, now: int) -> None:
         self.taken.append(now)
@@ -205,7 +206,7 @@
 
     def spend(self, now: int) -> bool:
         self._trim(now)
-        if (len(self.retried) + 1) * BUDGET_PARTS > len(self.taken):
+        if self.ceded or (len(self.retried) + 1) * BUDGET_PARTS > len(self.taken):
             return False
         self.retried.append(now)
         return True
@@ -258,6 +259,7 @@
         self.cold_from = cold_from
         self.warm_within_us = warm_within_us
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
+        self.ceded = False  # to another process of this sidecar
 
     def carry(self, now: int) -> None:
         self.carried = self.carried * max(0.0, 1 - (now - self.carried_us) / self.warm_within_us) + 1
@@ -274,7 +276,7 @@
         rate = max(1.0, self.carried) / span * part * share
         e.cold_credit = min(1.0, e.cold_credit + rate * (now - e.cold_us))
         e.cold_us = now
-        return e.cold_credit >= 1.0
+        return e.cold_credit >= 1.0 and not self.ceded
 
 
 class Shares:
@@ -405,13 +407,8 @@
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
         self.usual_us, self.heard = now, 0
         self.last_tier = last_tier
-        self.round_us = round_us
-        self.come_back_us = come_back_us
-        self.may_cancel = may_cancel
-        self.asking = asking
-        self.repeat_rule = repeat_rule
-        self.cold_rule = cold_rule
-        self.shares = shares
+        self.round_us, self.come_back_us, self.may_cancel = round_us, come_back_us, may_cancel
+        self.asking, self.repeat_rule, self.cold_rule, self.shares = asking, repeat_rule, cold_rule, shares
         self.copies = copies
         self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
         self.at_door = at_door
@@ -486,6 +483,11 @@
         """Endpoints that get nothing now, or only where nothing else is left: off, gone or failing."""
         return [e.ix for e in self.endpoints.values() if not e.on or not e.succeeds(now)]
 
+    def cede(self, ceded: bool) -> None:
+        """Another process of this sidecar has (or has no more) what only one may use: retries, cold starts.
+        Guards against both together retrying, or filling what is cold, for two."""
+        self.cold_rule.ceded = self.budget.ceded = ceded
+
     def forget(self, ix: int) -> None:
         """It has left the list, and no hop to it is out."""
         del self.endpoints[ix]
--- a/cressrail/buffers/pool.py
+++ b/cressrail/buffers/pool.py
@@ -21,6 +21,10 @@
         self.lent += 1
         return self.free.pop() if self.free else bytearray(SIZE)
 
+    def trim(self) -> None:
+        """Gives what is free beyond the bound back to the system."""
+        del self.free[max(0, self.most - self.lent):]
+
     def give(self, buffer: bytearray) -> None:
         self.lent -= 1
         self.free.append(buffer)
--- /dev/null
+++ b/cressrail/handover/estate.py
@@ -0,0 +1,106 @@
+"""What a sidecar's process knows that the next one goes on from: gathered in one, settled in the other.
+
+Endpoints go by their names and the times of their starts, since indices are each process's own. Whatever is
+not as it should be is refused whole, before anything is changed: a start from nothing serves, half an estate
+may not.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Any
+
+from cressrail.brain import Sidecar
+from cressrail.catalog.news import PHASES
+from cressrail.handover.frame import Foreign
+from cressrail.traffic.roster import Roster
+
+# Of an endpoint and of the whole, by the module's own names.
+NUMBERS = ("limit", "latency", "good", "cold_credit")
+TIMES = ("cut_us", "prompt_us", "heard_us", "dead_us", "cold_us")
+WHOLE_NUMBERS = ("mean", "swing", "usual", "late")
+WHOLE_TIMES = ("usual_us", "heard")
+WORDS = {phase: word for word, phase in PHASES.items()}
+
+
+def listed(roster: Roster, revision: int) -> dict[str, Any]:
+    """The list in discovery's own form, so that it is read and checked as hers is."""
+    return {"revision": revision, "complete": True, "members": [
+        {"id": row.name, "host_port": f"{f'[{row.host}]' if ':' in row.host else row.host}:{row.port}",
+         "locality": row.zone, "cell": row.cell, "phase": WORDS[row.on, False], "size": row.scale,
+         "up_since_ms": row.started_us // 1000}
+        for row in (at.row for at in roster.addresses.values()) if not row.gone]}
+
+
+def gather(sidecar: Sidecar, roster: Roster) -> dict[str, Any]:
+    endpoints = []
+    for ix, at in roster.addresses.items():
+        e = sidecar.endpoints[ix]
+        endpoints.append([at.name, e.started_us, *(getattr(e, name) for name in (*NUMBERS, *TIMES))])
+    cold, shares = sidecar.cold_rule, sidecar.shares
+    return {
+        "endpoints": endpoints,
+        "whole": [getattr(sidecar, name) for name in (*WHOLE_NUMBERS, *WHOLE_TIMES)],
+        "budget": [list(sidecar.budget.taken), list(sidecar.budget.retried)],
+        "cold": [cold.born_us, cold.carried, cold.carried_us],
+        "shares": [shares.credit, shares.filled_us, shares.clock_us, shares.seen_us, shares.short_us,
+                   shares.sends],
+        "groups": [[group.admits, group.hops, group.hops_per_s] for group in sidecar.groups]}
+
+
+def settle(estate: dict[str, Any], sidecar: Sidecar, roster: Roster, now: int) -> None:
+    """Raises `Foreign`, and has changed nothing then."""
+    try:
+        told = {str(name): (_time(started), [_number(v) for v in rest[:len(NUMBERS)]],
+                            _times(rest[len(NUMBERS):], len(TIMES)))
+                for name, started, *rest in estate["endpoints"]}
+        whole = estate["whole"]
+        numbers = [_number(v) for v in whole[:len(WHOLE_NUMBERS)]]
+        times = _times(whole[len(WHOLE_NUMBERS):], len(WHOLE_TIMES))
+        taken, retried = (sorted(_times(part)) for part in estate["budget"])
+        born_us, carried, carried_us = estate["cold"]
+        cold = _time(born_us), _number(carried), _time(carried_us)
+        credit, filled, *clocks = estate["shares"]
+        shares = [_number(v) for v in credit], _times(filled, len(credit)), _times(clocks, 4)
+        groups = [(_number(admits), _time(hops), _number(rate)) for admits, hops, rate in estate["groups"]]
+    except (KeyError, TypeError, ValueError) as fault:
+        raise Foreign(f"{type(fault).__name__}: {fault}") from None
+    for ix, at in roster.addresses.items():
+        e = sidecar.endpoints[ix]
+        started_us, values, moments = told.get(at.name, (-1, [], []))
+        if started_us == e.started_us:
+            for name, value in zip((*NUMBERS, *TIMES), (*values, *moments), strict=True):
+                setattr(e, name, value)
+    for name, value in zip((*WHOLE_NUMBERS, *WHOLE_TIMES), (*numbers, *times), strict=True):
+        setattr(sidecar, name, value)
+    sidecar.budget.taken, sidecar.budget.retried = deque(taken), deque(retried)
+    rule = sidecar.cold_rule
+    rule.born_us, rule.carried, rule.carried_us = cold
+    of = sidecar.shares
+    if len(shares[0]) == len(of.credit):
+        of.credit, of.filled_us = shares[0], shares[1]
+        of.clock_us, of.seen_us, of.short_us, of.sends = shares[2]
+    for group, (admits, hops, rate) in zip(sidecar.groups, groups, strict=False):
+        group.admits, group.hops, group.hops_per_s = admits or group.admits, hops, rate
+    for group in sidecar.groups:
+        group.choose(now)
+
+
+def _number(value: Any) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool) or not -1e18 < value < 1e18:
+        raise ValueError(f"no number: {str(value)[:40]}")
+    return float(value)
+
+
+def _time(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError(f"no whole number: {str(value)[:40]}")
+    return value
+
+
+def _times(values: Iterable[Any], count: int | None = None) -> list[int]:
+    found = [_time(value) for value in values]
+    if count is not None and len(found) != count:
+        raise ValueError(f"{len(found)} figures, {count} wanted")
+    return found
--- /dev/null
+++ b/cressrail/handover/frame.py
@@ -0,0 +1,54 @@
+"""Frames between two processes of one sidecar: versioned and checked, fed with what comes in any pieces."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+from zlib import crc32
+
+import orjson
+
+MARK = b"CrHo"
+VERSION = 1  # of the estate's words; another version's is not read
+MOST = 8 << 20  # bytes of a frame
+HEAD = struct.Struct("!4sHII")  # mark, version, length, check sum
+HELLO, HERE, TAKE, ESTATE, BYE = "hello", "here", "take", "estate", "bye"
+
+
+class Foreign(Exception):
+    """What came is torn, of another version, or none of ours."""
+
+
+def wrap(kind: str, told: dict[str, Any]) -> bytes:
+    body = orjson.dumps({"kind": kind, **told})
+    return HEAD.pack(MARK, VERSION, len(body), crc32(body)) + body
+
+
+class Frames:
+    """Collects what comes and gives whole frames."""
+
+    def __init__(self) -> None:
+        self.text = bytearray()
+
+    def add(self, data: bytes) -> None:
+        self.text += data
+
+    def next(self) -> tuple[str, dict[str, Any]] | None:
+        """The next frame's kind and what it tells; nothing while none is whole. Raises `Foreign`."""
+        if len(self.text) < HEAD.size:
+            return None
+        mark, version, size, check = HEAD.unpack_from(self.text)
+        if mark != MARK or size > MOST:
+            raise Foreign("no frame of a sidecar")
+        if version != VERSION:
+            raise Foreign(f"version {version}")
+        if len(self.text) < HEAD.size + size:
+            return None
+        body = bytes(self.text[HEAD.size:HEAD.size + size])
+        del self.text[:HEAD.size + size]
+        if crc32(body) != check:
+            raise Foreign("check sum")
+        told = orjson.loads(body)
+        if not isinstance(told, dict) or not isinstance(told.get("kind"), str):
+            raise Foreign("no kind")
+        return told["kind"], told
--- /dev/null
+++ b/cressrail/sockets/heir.py
@@ -0,0 +1,136 @@
+"""The process that may take over from this one: where it finds it, and what it is told."""
+
+from __future__ import annotations
+
+import os
+import socket
+import struct
+from contextlib import suppress
+
+from cressrail.handover.frame import BYE, ESTATE, HELLO, HERE, TAKE, Foreign, Frames, wrap
+from cressrail.loop.scheduler import MAIL, READ, WRITE
+from cressrail.sockets.net import Net
+
+DESCRIPTORS = 4  # the meeting place, one who comes, one who is refused, and the way to the elder process
+SPAN_US = 1_000_000  # to say who it is
+PIECE = 65536
+FIXED = 24  # descriptors that a process holds beside clients' and endpoints'
+KEPT_PART = 4  # of the buffers a process that hands over keeps one such part, or what it has lent out
+
+
+class HeirTask:
+    def __init__(self, net: Net, path: str, listening: socket.socket, listen: tuple[str, int]) -> None:
+        self.net = net
+        self.path = path
+        self.listening = listening
+        self.listen = listen
+        self.place: socket.socket | None = None
+
+    def run(self) -> None:
+        try:
+            while self._publish():
+                assert self.place is not None
+                if self.net.loop.wait(self.place.fileno(), READ) == MAIL:
+                    return
+                with suppress(OSError):
+                    self._serve(self.place.accept()[0])
+        finally:
+            self._withdraw()
+
+    def _publish(self) -> bool:
+        """Under a name of its own first, then in place of whoever was there before, in one step."""
+        if self.place is not None:
+            return True
+        place = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        own = f"{self.path}.{os.getpid()}"
+        try:
+            with suppress(FileNotFoundError):
+                os.unlink(own)
+            place.bind(own)
+            os.chmod(own, 0o600)
+            place.listen(4)
+            place.setblocking(False)
+            os.rename(own, self.path)
+        except OSError as fault:  # no upgrade beside it then, and all else as ever
+            place.close()
+            self.net.log.note("no_meeting", {"why": str(fault)})
+            return False
+        self.place = place
+        return True
+
+    def _withdraw(self) -> None:
+        if self.place is not None:
+            self.place.close()
+            self.place = None
+
+    def _serve(self, sock: socket.socket) -> None:
+        """One who would take over, to the end of its connection. Only one at a time."""
+        frames, over = Frames(), False
+        try:
+            sock.setblocking(False)
+            if not _same_user(sock):
+                return
+            got = self._next(sock, frames, self.net.now() + SPAN_US)
+            if got is None or got[0] != HELLO or got[1].get("listen") != list(self.listen):
+                return
+            here = wrap(HERE, {"list": self.net.reducer.listed()})
+            sent = socket.send_fds(sock, [here], [self.listening.fileno()])
+            self._send(sock, here[sent:])
+            got = self._next(sock, frames, None)
+            if got is None or got[0] != TAKE:
+                return
+            told, effects = self.net.reducer.hand_over(self.net.now())
+            over = True
+            self.net.tell(effects)
+            self._send(sock, wrap(ESTATE, {**told, "held": self._held()}))
+            self._withdraw()
+            got = self._next(sock, frames, None)
+            if got is not None and got[0] == BYE:
+                over = False  # a later one serves: no reason to come back
+        except (OSError, Foreign, ValueError) as fault:
+            self.net.log.note("heir_junk", {"why": str(fault)})
+        finally:
+            sock.close()
+            if over:
+                self.net.pool.most = self.most
+                self.net.tell(self.net.reducer.heir_died(self.net.now()))
+
+    def _held(self) -> list[int]:
+        """Clients, links and buffers that stay with this process; it lends and opens no more than these."""
+        reducer, pool = self.net.reducer, self.net.pool
+        self.most = pool.most
+        pool.most = max(pool.lent, pool.most // KEPT_PART)
+        pool.trim()
+        reducer.room.links = max(len(reducer.links), reducer.room.links // KEPT_PART)
+        return [len(reducer.clients) + FIXED, reducer.room.links, pool.most]
+
+    def _next(self, sock: socket.socket, frames: Frames,
+              until_us: int | None) -> tuple[str, dict[str, object]] | None:
+        while (got := frames.next()) is None:
+            try:
+                data = sock.recv(PIECE)
+            except BlockingIOError:
+                if until_us is None:
+                    self.net.loop.wait(sock.fileno(), READ, mail=False)
+                elif self.net.loop.wait(sock.fileno(), READ, until_us, mail=False) == 0:
+                    return None
+                continue
+            if not data:
+                return None
+            frames.add(data)
+        return got
+
+    def _send(self, sock: socket.socket, data: bytes) -> None:
+        left = memoryview(data)
+        until_us = self.net.now() + SPAN_US
+        while left:
+            try:
+                left = left[sock.send(left):]
+            except BlockingIOError:
+                if self.net.loop.wait(sock.fileno(), WRITE, until_us, mail=False) == 0:
+                    raise Foreign("does not read") from None
+
+
+def _same_user(sock: socket.socket) -> bool:
+    _, uid, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return bool(uid == os.getuid())
--- a/cressrail/sockets/listener.py
+++ b/cressrail/sockets/listener.py
@@ -15,9 +15,12 @@
 SHORT_PAUSE_US = 20_000
 
 
-def bind(host: str, port: int) -> socket.socket:
+def bind(host: str, port: int, shared: bool = False) -> socket.socket:
+    """`shared`: a later process of the same user may listen there too."""
     sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # a restart binds at once
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.setblocking(False)
     try:
         sock.bind((host, port))
--- a/cressrail/sockets/net.py
+++ b/cressrail/sockets/net.py
@@ -30,6 +30,8 @@
         self.listener: Task | None = None
         self.watch: Task | None = None
         self.waker: Task | None = None
+        self.relay: Task | None = None  # takes over from the process before this one
+        self.at_end: list[Callable[[], None]] = []  # once the loop has ended, and wait for nothing
         self.start_link: Callable[[int], Callable[[], None]] | None = None
         # By kind, looked up once an effect: there are half a dozen of them to each transaction.
         self.ways: dict[type[Effect], Callable[[Any], None]] = {
@@ -45,6 +47,7 @@
             do.Listen: self._listen,
             do.Watch: self._watch,
             do.Wake: self._wake,
+            do.TakeOver: self._take_over,
         }
 
     def tell(self, effects: list[Effect]) -> None:
@@ -85,6 +88,10 @@
         assert self.waker is not None
         self.loop.post(self.waker, effect)
 
+    def _take_over(self, effect: do.TakeOver) -> None:
+        assert self.relay is not None
+        self.loop.post(self.relay, effect)
+
     def client_gone(self, number: int) -> None:
         del self.clients[number]
         self.tell(self.reducer.client_left(self.now(), number))
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import resource
 
 from cressrail.brain import Chance
@@ -12,7 +13,9 @@
 from cressrail.loop.scheduler import Scheduler
 from cressrail.outfit import parts
 from cressrail.outfit.start import Start
-from cressrail.sockets import listener, ops
+from cressrail.sockets import heir, listener, ops
+from cressrail.sockets.elder import Elder, ElderTask, meeting, seek
+from cressrail.sockets.heir import HeirTask
 from cressrail.sockets.link import LinkTask
 from cressrail.sockets.net import Net
 from cressrail.sockets.reread import Reread
@@ -47,14 +50,19 @@
     roster = Roster(start.told.names("dcs"))
     now = clock.now()
     sidecar = parts.sidecar(start.told, start.seed, now, list(roster.zones), list(members.values()))
+    aside = ops.DESCRIPTORS + heir.DESCRIPTORS if start.ops else 0
     reducer = Reducer(sidecar, profiles, {member: n for n, member in enumerate(members)}, roster,
-                      room(start.sockets, ops.DESCRIPTORS if start.ops else 0), Chance(start.seed ^ 1), now,
+                      room(start.sockets, aside), Chance(start.seed ^ 1), now,
                       longest_us := max(p.hard_limit_us for p in profiles.values()), start.discovery)
     pool = Pool(int(start.memory_mb * BUFFERS_SHARE * (1 << 20)) // SIZE)
     connect_us, idle_us = parts.waits(start.told)
     net = Net(loop, pool, reducer, log, connect_us=connect_us, idle_us=idle_us, patience_us=longest_us,
               answer_most=pool.most * SIZE // ANSWER_PARTS)
-    door = listener.ListenerTask(net, listener.bind(*start.listen))
+    # Only with a door for operators: without it nothing is written under $TMPDIR, and nothing shared.
+    path = meeting(start.listen, os.environ.get("TMPDIR")) if start.ops else None
+    elder = seek(path, start.listen) if path else None
+    door = listener.ListenerTask(
+        net, elder.listening if elder else listener.bind(*start.listen, shared=start.ops is not None))
     if start.ops:
         loop.spawn(ops.OpsTask(net, listener.bind(*start.ops)).run, first=True)
     net.start_link = lambda number: LinkTask(net, number).run
@@ -67,10 +75,23 @@
                        "shape": start.shape, "stage": start.told.whole("stage", 0),
                        "known": len(start.known.rows), "clients": reducer.room.clients,
                        "links": reducer.room.links})
-    net.tell(reducer.start(now, start.known))
+    if path:
+        successor = HeirTask(net, path, door.sock, start.listen)
+        net.relay = loop.spawn(lambda: _relay(net, elder, successor), first=True)
+    net.tell(reducer.start(now, elder.known if elder else start.known, elder is not None))
     return net, door
 
 
+def _relay(net: Net, elder: Elder | None, successor: HeirTask) -> None:
+    """First what this process takes over, then whoever takes over from it."""
+    if elder is not None:
+        before = ElderTask(net, elder)
+        before.take()
+        net.at_end.append(before.farewell)
+        net.loop.spawn(before.outlive, first=True)
+    successor.run()
+
+
 def run(net: Net, reread: Reread) -> int:
     with heed_signals(net, reread):
         gc.collect()
@@ -79,6 +100,8 @@
         # them.
         gc.set_threshold(YOUNG, 10, 50)
         net.loop.run()
+    for last in net.at_end:
+        last()
     net.log.note("end", {})
     net.log.flush()
     return 0
--- a/cressrail/traffic/effects.py
+++ b/cressrail/traffic/effects.py
@@ -74,6 +74,10 @@
     at_us: int
 
 
+class TakeOver(NamedTuple):
+    """From the process that serves so far, which waits to be asked."""
+
+
 class Note(NamedTuple):
     """A line for the log."""
 
@@ -85,4 +89,5 @@
     """All is done; the process may end."""
 
 
-Effect = (Listen | Read | Write | Shut | Carry | CallOff | Drop | GiveBack | Watch | Wake | Note | Leave)
+Effect = (Listen | Read | Write | Shut | Carry | CallOff | Drop | GiveBack | Watch | Wake | TakeOver |
+          Note | Leave)
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -8,11 +8,14 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from cressrail import brain
 from cressrail.brain import NON_IDEMPOTENT, Chance, Decision, Outcome, Profile, Sidecar, Tx
 from cressrail.buffers.pool import Chain
 from cressrail.catalog.news import News
+from cressrail.handover import estate
+from cressrail.handover.frame import Foreign
 from cressrail.http1.answer import Answer
 from cressrail.http1.figures import span_us
 from cressrail.http1.request import Request
@@ -32,6 +35,7 @@
 AGAIN_DOUBLINGS = 4
 FRESH_US = 1_000_000  # a client may take so long to begin, or to end, a request before it may be closed
 SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
+HEIR_IDLE_US = 8_000_000  # so long a client may ask once more of a process that has handed over
 DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
 HEALTH = b"/_health"
 
@@ -106,7 +110,11 @@
         self.anew = True  # the whole list is asked for, as its source may count revisions otherwise
         self.heard_news = False
         self.watch_fails = 0
-        self.listening = True
+        self.listening = False
+        self.elder = False  # another process serves until it is asked to hand over
+        self.asked = False  # it has been
+        self.heir_us = -1  # since when another process has taken over from this one
+        self.foreign_ids: dict[str, int] = {}  # of requests open there, and until when at most
         self.stop_us = self.quiet_us = -1
         self.door = True  # open to new clients, but for a full house
         self.closing = False  # those who are left are answered for the last time
@@ -120,11 +128,11 @@
 
     # The list
 
-    def start(self, now: int, known: News) -> list[Effect]:
-        self.revision = known.revision
+    def start(self, now: int, known: News, elder: bool = False) -> list[Effect]:
+        self.revision, self.elder = known.revision, elder
         entries, _, _ = self.roster.heard(known)
         self.sidecar.hear_list(now, entries, full=True, answer=False)
-        return self._out(now, [do.Listen(True), self._watch(now)])
+        return self._out(now, [self._watch(now)])
 
     def news(self, now: int, news: News) -> list[Effect]:
         out: list[Effect] = [do.Note("junk", {"from": "discovery", "what": what}) for what in news.faults[:3]]
@@ -200,7 +208,8 @@
         if profile is None or not name:
             return self._reply(now, client, 400, request.body, counted)
         limit_us = span_us(span) if span is not None else profile.hard_limit_us
-        if limit_us is None or name in self.open_ids:  # an id is of one request only
+        elsewhere = self.foreign_ids.get(name, 0) > now
+        if limit_us is None or name in self.open_ids or elsewhere:  # an id is of one request only
             return self._reply(now, client, 400, request.body, counted)
         limit_us = min(limit_us, profile.hard_limit_us)
         if not self.door:  # guards against a transaction taken late in a stop that is cut off unanswered
@@ -310,8 +319,10 @@
         if path == control.COUNTERS:
             return control.Told(200, self._figures(now)), []
         if path == control.READY:
-            fit = self.can_serve(now) and self.stop_us < 0
+            fit = self.can_serve(now) and self.stop_us < 0 and not self.elder
             return control.Told(200 if fit else 503, b"ready\n" if fit else b"not ready\n"), []
+        if self.heir_us >= 0:  # what is told here would end with this process
+            return control.Told(503, b"another process has taken over\n"), []
         if path == control.OUT:
             return control.Told(200, b"out of service\n"), self._out_of_service(now)
         return control.Told(200, b"in service\n"), self._in_service(now)
@@ -336,16 +347,67 @@
         self.drain_us, self.drained = -1, False
         return self._out(now, [do.Note("in_service", {"clients": len(self.clients)})])
 
+    # Two processes
+
+    def listed(self) -> dict[str, Any]:
+        return estate.listed(self.roster, self.revision)
+
+    def take_over(self, now: int, told: dict[str, Any] | None, clients: int, links: int) -> list[Effect]:
+        """The elder process has stopped taking clients, and left this; nothing if it has gone or does not
+        answer. So many clients and links are its own until `elder_left`."""
+        out: list[Effect] = []
+        self.elder = False
+        try:
+            if told is not None:
+                estate.settle(told, self.sidecar, self.roster, now)
+                self.foreign_ids = {str(name): now + self.longest_us for name in told.get("open", [])}
+                if told.get("drained") is True:
+                    self.drain_us = now
+                out.append(do.Note("took_over", {"open": len(self.foreign_ids), "clients": clients}))
+        except Foreign as fault:
+            out.append(do.Note("took_over", {"lost": str(fault)}))
+        self.room.clients = max(1, self.room.clients - clients)
+        self.room.links = max(1, self.room.links - links)
+        return self._out(now, out)
+
+    def elder_left(self, now: int, clients: int, links: int) -> list[Effect]:
+        self.room.clients += clients
+        self.room.links += links
+        self.foreign_ids = {}
+        return self._out(now, [])
+
+    def hand_over(self, now: int) -> tuple[dict[str, Any], list[Effect]]:
+        """Another process serves from here on. No idle client is closed for it: each answer is the last on
+        its connection, so no close crosses a request, and those who ask again go there."""
+        told = {**estate.gather(self.sidecar, self.roster), "open": list(self.open_ids),
+                "drained": self.drain_us >= 0}
+        self.sidecar.cede(True)
+        self.heir_us = now
+        return told, self._out(now, [do.Note("handed_over", {"clients": len(self.clients),
+                                                             "txs": len(self.txs)})])
+
+    def heir_died(self, now: int) -> list[Effect]:
+        """It never served, or does so no more: this process goes on, unless it was told to stop."""
+        if self.heir_us < 0 or self.stop_us >= 0:
+            return []
+        self.heir_us = -1
+        self.sidecar.cede(False)
+        return self._out(now, [do.Note("heir_died", {})])
+
     # Time and the end
 
     def woke(self, now: int) -> list[Effect]:
         out: list[Effect] = []
         if now >= self.sidecar.wake_us:
             out += self._decided(now, self.sidecar.wake(now))
+        if self.heir_us >= 0 and self.stop_us < 0 and now >= self.heir_us + HEIR_IDLE_US:
+            out += [self._shut_idle(client) for client in list(self.idle_clients)]
         if self.stop_us >= 0 and self.door and now >= self._close_us():
             self.door = False
             self.hang_up_us = now + self._last_us()
-            out += [do.Listen(False, closed=True), do.Note("closing", {"clients": len(self.clients)})]
+            out.append(do.Note("closing", {"clients": len(self.clients)}))
+            if self.heir_us < 0:  # else who waits in the queue is the other's
+                out.append(do.Listen(False, closed=True))
         if not self.door and not self.closing and now >= self.hang_up_us:
             # Not sooner: clients who are left may have nobody else to go to while others restart.
             self.closing = True
@@ -369,8 +431,9 @@
         return self._out(now, [do.Note("stopping", {"clients": len(self.clients), "txs": len(self.txs)})])
 
     def ready(self, now: int) -> bool:
-        """What the front is told: whether to deal out clients to this sidecar."""
-        return self.can_serve(now) and self.stop_us < 0 and self.drain_us < 0
+        """What the front is told: whether to deal out clients to this sidecar. Where another process has
+        taken over, a stop of this one is no reason to go elsewhere."""
+        return self.can_serve(now) and (self.stop_us < 0 or self.heir_us >= 0) and self.drain_us < 0
 
     def can_serve(self, now: int) -> bool:
         known = bool(self.roster.addresses) and now - self.born_us >= READY_WITHOUT_NEWS_US
@@ -396,6 +459,8 @@
             self.sidecar.forget(endpoint)
 
     def _close_us(self) -> int:
+        if self.heir_us >= 0:  # nobody comes any more
+            return self.stop_us
         quiet_us = max(self.stop_us + STOP_LEAST_US, self.quiet_us + STOP_QUIET_US)
         return min(quiet_us, self.stop_us + STOP_MOST_US)
 
@@ -409,7 +474,7 @@
         return self.door and self.drain_us < 0
 
     def _last(self, held: Client) -> bool:
-        return self.closing or self.drain_us >= 0 or held.surplus or not held.keep
+        return self.closing or self.drain_us >= 0 or self.heir_us >= 0 or held.surplus or not held.keep
 
     def _reply(self, now: int, client: int, status: int, body: Chain | None,
                counted: str | None = None) -> list[Effect]:
@@ -524,10 +589,17 @@
         if self.door:
             # Guards against a listener that waits for room while clients that may be closed sit idle.
             most = self.room.clients + self.room.surplus
-            on = len(self.clients) < most or self._spare_client(now) is not None
+            on = not self.elder and self.heir_us < 0 and (
+                len(self.clients) < most or self._spare_client(now) is not None)
             if on is not self.listening:
                 self.listening = on
                 out.append(do.Listen(on))
+        if self.elder and not self.asked:
+            if self.can_serve(now):
+                self.asked = True
+                out.append(do.TakeOver())
+            else:
+                wake_us = min(wake_us, self.born_us + READY_WITHOUT_NEWS_US)
         if self.stop_us >= 0:
             wake_us = min(wake_us, self._close_us() if self.door else
                           self.end_us if self.closing else self.hang_up_us)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,331 @@
+"""A new process beside the running one: what is handed over, and what comes of it where one dies."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cressrail.brain import Outcome
+from cressrail.catalog.news import read
+from cressrail.handover import estate
+from cressrail.handover.frame import HEAD, MARK, VERSION, Foreign, Frames, wrap
+from cressrail.sockets.elder import MOST_PATH, meeting, seek
+from cressrail.traffic import control
+from cressrail.traffic import effects as do
+from tests.helpers import CONFIG, SECOND, ask, member, reply, warm_up
+from tests.test_ops import call
+from tests.test_traffic import Front, news
+
+
+def test_frames_come_whole_from_any_pieces() -> None:
+    frames, text = Frames(), wrap("hello", {"n": 1}) + wrap("take", {})
+    found = []
+    for n in range(len(text)):
+        frames.add(text[n:n + 1])
+        while (got := frames.next()) is not None:
+            found.append(got[0])
+    assert found == ["hello", "take"]
+
+
+@pytest.mark.parametrize("text", [
+    b"GET / HTTP/1.1\r\n\r\n", HEAD.pack(MARK, VERSION + 1, 2, 0) + b"{}",
+    HEAD.pack(MARK, VERSION, 2, 1) + b"{}",
+    HEAD.pack(MARK, VERSION, 1 << 30, 0), wrap("take", {})[:-2] + b"x}"])
+def test_a_torn_old_or_foreign_frame_is_refused(text: bytes) -> None:
+    frames = Frames()
+    frames.add(text)
+    with pytest.raises(Foreign):
+        frames.next()
+
+
+def told(front: Front, now: int = SECOND) -> dict[str, Any]:
+    """The estate, as it comes out of a frame."""
+    found, effects = front.reducer.hand_over(now)
+    front.told += effects
+    frames = Frames()
+    frames.add(wrap("estate", found))
+    got = frames.next()
+    assert got is not None
+    return got[1]
+
+
+def beside() -> Front:
+    """A process that waits for the one before it."""
+    front = Front()
+    front.reducer.listening, front.reducer.elder = False, True
+    return front
+
+
+def test_the_new_process_goes_on_from_what_the_old_one_knew() -> None:
+    old, new = Front(), beside()
+    warm_up(old.reducer.sidecar, 50)
+    old.reducer.sidecar.endpoints[1].limit = 1.25
+    old.reducer.sidecar.died(SECOND, 0)
+    old.told += old.reducer.news(SECOND, news(9, False, member("s1", 9001, phase="draining")))
+    new.reducer.news(SECOND, read(old.reducer.listed()))
+    new.told = new.reducer.take_over(SECOND, told(old), 1, 1)
+    side = new.reducer.sidecar
+    assert new.reducer.revision == 9 and not side.endpoints[1].on and side.endpoints[1].limit == 1.25
+    assert side.avoids(SECOND) == [0, 1] and len(side.budget.taken) == 50
+    assert side.cold_rule.carried == old.reducer.sidecar.cold_rule.carried > 1
+    assert new.all(do.Listen) == [do.Listen(True)]
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda e: e.pop("budget"), lambda e: e["whole"].pop(), lambda e: e["endpoints"][0].pop(),
+    lambda e: e.update(cold=[1, "x", 2]), lambda e: e["budget"][0].append(1.5),
+    lambda e: e.update(shares=[])])
+def test_half_an_estate_is_none(spoil: Any) -> None:
+    old, new = Front(), beside()
+    warm_up(old.reducer.sidecar)
+    old.reducer.sidecar.endpoints[0].limit = 1.25
+    found = told(old)
+    spoil(found)
+    with pytest.raises(Foreign):
+        estate.settle(found, new.reducer.sidecar, new.reducer.roster, SECOND)
+    new.told = new.reducer.take_over(SECOND, found, 0, 0)
+    assert not new.reducer.sidecar.budget.taken and new.reducer.sidecar.endpoints[0].limit != 1.25
+    assert new.all(do.Listen) == [do.Listen(True)]  # and yet it serves
+
+
+def test_both_together_retry_no_more_and_fill_the_cold_no_more_than_one() -> None:
+    front = Front()
+    warm_up(front.reducer.sidecar)
+    side, now = front.reducer.sidecar, SECOND
+    side.endpoints[0].started_us = side.endpoints[0].cold_us = 1
+    assert side.cold_rule.credit(side.endpoints[0], 5 * SECOND, 1.0)
+    told(front)
+    assert not side.budget.spend(now) and not side.cold_rule.credit(side.endpoints[0], 6 * SECOND, 1.0)
+    front.reducer.heir_died(now)
+    assert side.budget.spend(now) and side.cold_rule.credit(side.endpoints[0], 7 * SECOND, 1.0)
+
+
+def test_an_id_that_is_open_at_the_old_process_is_not_taken_by_the_new_one() -> None:
+    old, new = Front(), beside()
+    old.came(7)
+    old.ask(7)
+    new.told = new.reducer.take_over(SECOND, told(old), 0, 0)
+    new.came(7)
+    new.ask(7, now=SECOND)
+    assert [write.answer.status for write in new.all(do.Write)] == [400]
+    new.reducer.elder_left(SECOND, 0, 0)
+    new.ask(7, now=SECOND)
+    assert new.hop()
+
+
+def test_a_drain_goes_over() -> None:
+    old, new = Front(), beside()
+    call(old, control.OUT)
+    new.told = new.reducer.take_over(SECOND, told(old), 0, 0)
+    assert not new.reducer.ready(SECOND) and call(new, control.READY, SECOND) == 200
+    assert call(old, control.IN, SECOND) == 503  # it would be lost with the process
+    call(new, control.IN, SECOND)
+    assert new.reducer.ready(SECOND)
+
+
+def test_the_new_process_asks_only_once_it_can_serve_and_is_ready_only_after() -> None:
+    new = beside()
+    new.told = new.reducer.start(0, read({"revision": 1, "complete": True, "members": []}), True)
+    assert not new.all(do.TakeOver) and not new.all(do.Listen)
+    assert call(new, control.READY) == 503
+    new.told = new.reducer.news(1, news(4, True, member("s0", 9000)))
+    assert len(new.all(do.TakeOver)) == 1 and call(new, control.READY) == 503
+    new.told = new.reducer.take_over(2, None, 0, 0)
+    assert call(new, control.READY) == 200 and new.all(do.Listen) == [do.Listen(True)]
+
+
+def test_the_old_process_closes_no_idle_client_but_ends_with_each_answer() -> None:
+    front = Front()
+    front.rest(1)
+    front.came(2)
+    front.ask(2)
+    told(front)
+    assert front.all(do.Listen)[-1] == do.Listen(False) and not front.all(do.Shut)
+    front.end(front.hop(), Outcome.COMMITTED)
+    front.ask(1, now=SECOND)
+    front.end(front.hop(), Outcome.COMMITTED, SECOND)
+    assert [write.last for write in front.all(do.Write)] == [True, True]
+    front.told += front.reducer.stop(2 * SECOND)
+    assert front.reducer.ready(2 * SECOND)  # a front that asks here is not to leave a sidecar that serves
+    for client in (1, 2):
+        front.told += front.reducer.written(2 * SECOND, client)
+        front.told += front.reducer.client_left(2 * SECOND, client)
+    front.told += front.reducer.woke(2 * SECOND)
+    assert front.all(do.Leave) and not any(listen.closed for listen in front.all(do.Listen))
+
+
+def test_an_heir_that_dies_leaves_all_as_it_was_unless_told_to_stop() -> None:
+    front = Front()
+    told(front)
+    front.all(do.Listen)
+    front.told = front.reducer.heir_died(SECOND)
+    assert front.all(do.Listen) == [do.Listen(True)] and front.reducer.heir_us < 0
+    told(front)
+    front.told = front.reducer.stop(2 * SECOND)
+    front.told += front.reducer.heir_died(2 * SECOND)
+    assert not front.all(do.Listen)
+
+
+@pytest.mark.parametrize("tmp", [None, "", "/x" * MOST_PATH])
+def test_without_a_place_to_meet_there_is_none(tmp: str | None) -> None:
+    assert meeting(("127.0.0.1", 1), tmp) is None
+
+
+def test_one_who_meets_with_junk_is_no_elder(tmp_path: Path) -> None:
+    at = str(tmp_path / "s")
+    with socket.socket(socket.AF_UNIX) as place:
+        place.bind(at)
+        place.listen()
+        place.settimeout(5)
+        if os.fork() == 0:
+            other = place.accept()[0]
+            other.recv(4096)
+            other.sendall(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+            os._exit(0)
+        assert seek(at, ("127.0.0.1", 1)) is None
+        os.wait()
+    assert seek(at, ("127.0.0.1", 1)) is None  # nobody listens there any more
+
+
+# Whole processes
+
+class Fleet:
+    """Processes of one sidecar in one $TMPDIR, an endpoint and a discovery that never speaks."""
+
+    def __init__(self, tmp: Path, tmpdir: str | None) -> None:
+        self.tmp = tmp
+        self.env = {**os.environ, "TMPDIR": tmpdir} if tmpdir is not None else {
+            name: value for name, value in os.environ.items() if name != "TMPDIR"}
+        self.endpoint = socket.create_server(("127.0.0.1", 0))
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            self.port = server.getsockname()[1]
+        self.started: list[subprocess.Popen[bytes]] = []
+
+    def start(self) -> tuple[subprocess.Popen[bytes], tuple[str, int]]:
+        """A process, once it says ready."""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            ops = server.getsockname()[:2]
+        config = copy.deepcopy(CONFIG)
+        config["known"]["members"] = [member("s0", self.endpoint.getsockname()[1])]
+        config |= {"listen": f"127.0.0.1:{self.port}", "ops": f"{ops[0]}:{ops[1]}"}
+        path = self.tmp / f"config{len(self.started)}.json"
+        path.write_text(json.dumps(config))
+        process = subprocess.Popen([sys.executable, "-m", "cressrail", "serve", str(path)], env=self.env,
+                                   stdout=subprocess.DEVNULL)
+        self.started.append(process)
+        until = time.monotonic() + 20
+        while not self.say(ops, b"GET /control/ready").startswith(b"HTTP/1.1 200"):
+            assert process.poll() is None and time.monotonic() < until
+            time.sleep(0.02)
+        return process, ops
+
+    def say(self, at: tuple[str, int], what: bytes) -> bytes:
+        try:
+            with socket.create_connection(at, timeout=5) as sock:
+                sock.sendall(what + b" HTTP/1.1\r\nconnection: close\r\n\r\n")
+                heard = b""
+                while data := sock.recv(4096):
+                    heard += data
+                return heard
+        except OSError:
+            return b""
+
+    def client(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port), timeout=10)
+
+    def served(self, sock: socket.socket) -> bytes:
+        """What a client hears for one request, played with the endpoint's part."""
+        sock.sendall(ask())
+        far = self.endpoint.accept()[0]
+        with far:
+            heard = b""
+            while b"\r\n\r\n" not in heard:
+                heard += far.recv(4096)
+            far.sendall(reply(b"hello", more=b"connection: close\r\n"))
+            got = b""
+            while not got.endswith(b"hello") and (data := sock.recv(4096)):
+                got += data
+        return got
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path, str(tmp_path))
+    yield made
+    for process in made.started:
+        process.kill()
+        process.wait()
+    made.endpoint.close()
+
+
+def test_a_new_process_takes_over_and_the_old_one_ends(fleet: Fleet) -> None:
+    first, _ = fleet.start()
+    kept = fleet.client()
+    assert fleet.served(kept).startswith(b"HTTP/1.1 200")
+    second, ops = fleet.start()
+    fresh = fleet.client()
+    assert b"connection: close" not in fleet.served(fresh)
+    assert b"connection: close" in fleet.served(kept)  # the last there, and no close crossed it
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(20) == 0
+    assert fleet.served(fresh).startswith(b"HTTP/1.1 200")
+    assert b'app_answered{group="read"} 2' in fleet.say(ops, b"GET /control/counters")
+    third, _ = fleet.start()  # and again
+    second.send_signal(signal.SIGTERM)
+    assert second.wait(20) == 0
+    with fleet.client() as sock:
+        assert fleet.served(sock).startswith(b"HTTP/1.1 200")
+    third.send_signal(signal.SIGTERM)  # without a successor: as ever
+    assert third.wait(20) == 0
+    kept.close()
+    fresh.close()
+
+
+def test_a_new_process_that_is_killed_leaves_the_old_one_at_work(fleet: Fleet) -> None:
+    first, _ = fleet.start()
+    second, _ = fleet.start()
+    second.kill()
+    second.wait()
+    until = time.monotonic() + 10
+    while True:
+        with fleet.client() as sock:
+            if fleet.served(sock).startswith(b"HTTP/1.1 200"):
+                break
+        assert time.monotonic() < until
+    assert first.poll() is None
+    third, _ = fleet.start()
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(20) == 0 and third.poll() is None
+
+
+def test_an_old_process_that_is_killed_loses_nobody_who_comes(fleet: Fleet) -> None:
+    first, _ = fleet.start()
+    fleet.start()
+    first.kill()
+    with fleet.client() as sock:
+        assert fleet.served(sock).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("tmpdir", [None, "/proc/nowhere"])
+def test_without_a_common_directory_both_still_listen(tmp_path: Path, tmpdir: str | None) -> None:
+    fleet = Fleet(tmp_path, tmpdir)
+    first, _ = fleet.start()
+    second, _ = fleet.start()
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(20) == 0 and second.poll() is None
+    with fleet.client() as sock:
+        assert fleet.served(sock).startswith(b"HTTP/1.1 200")
+    second.kill()
+    second.wait()
+    fleet.endpoint.close()
