--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -231,7 +231,7 @@
         self.parallel = parallel
 
     def may_hop(self, tx: Tx, now: int) -> bool:
-        if len(tx.hops) >= self.most_hops or (tx.out and not self.parallel):
+        if tx.spent or len(tx.hops) >= self.most_hops or (tx.out and not self.parallel):
             return False
         if tx.anchor is None or tx.profile.kind == IDEMPOTENT:
             return True
@@ -353,13 +353,12 @@
     """The handle of one transaction."""
 
     __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "luck", "member", "out",
-                 "part", "profile", "side", "surplus")
+                 "part", "profile", "side", "spent", "surplus")
 
     def __init__(self, side: Sidecar, profile: Profile, member: int, now: int, remaining_us: int) -> None:
-        self.side = side
-        self.member = member
-        self.profile = profile
-        self.end_us = now + remaining_us - min(remaining_us // 64, side.round_us * 2)
+        self.side, self.member, self.profile = side, member, profile
+        self.end_us, self.closed, self.spent = 0, False, False  # spent: what would be sent again is gone
+        self.run(now, remaining_us)
         self.anchor: Endpoint | None = None  # of the first hop that may have run
         # Guards against endpoints at work on what no longer earns, where it may be rolled back in good time.
         if side.beside and not profile.overdue and side.repeat_rule.may_roll_back(self, ran=True):
@@ -373,11 +372,14 @@
         self.hops: list[Endpoint] = []
         self.out: dict[int, int] = {}  # hop number -> sent
         self.anchor_us: int = 0
-        self.closed = False
 
     def route(self, now: int) -> list[Decision]:
         return self.side.route(self, now)
 
+    def run(self, now: int, remaining_us: int) -> None:
+        """Its time, which stands still while the client still sends it, runs from here."""
+        self.end_us = now + remaining_us - min(remaining_us // 64, self.side.round_us * 2)
+
     def under_way(self, hop: int) -> list[Decision]:
         """A stream has begun: it is the client's, and no limit runs any more."""
         return self._call_off_others(hop)
@@ -399,19 +401,17 @@
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
                  shares: Shares, copies: int, number: int, now: int, beside: bool = False) -> None:
         self.beside = beside  # one client process, many copies
-        self.chance = chance
+        self.chance, self.copies = chance, copies
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups = [Group([], 0, 0) for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
         self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
         self.usual_us, self.heard = now, 0
-        self.last_tier = last_tier
+        self.last_tier, self.at_door = last_tier, at_door
         self.round_us, self.come_back_us, self.may_cancel = round_us, come_back_us, may_cancel
         self.asking, self.repeat_rule, self.cold_rule, self.shares = asking, repeat_rule, cold_rule, shares
-        self.copies = copies
         self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
-        self.at_door = at_door
         self.budget = RetryBudget()
         self.surge = 1.0
         self.line: list[Tx] = []  # best earners first
--- a/cressrail/buffers/pool.py
+++ b/cressrail/buffers/pool.py
@@ -15,8 +15,9 @@
         self.lent = 0
         self.free: list[bytearray] = []
 
-    def take(self) -> bytearray:
-        if self.lent >= self.most:
+    def take(self, over: bool = False) -> bytearray:
+        """`over`: also beyond the bound, for what has been read already."""
+        if self.lent >= self.most and not over:
             raise Exhausted
         self.lent += 1
         return self.free.pop() if self.free else bytearray(SIZE)
--- a/cressrail/http1/answer.py
+++ b/cressrail/http1/answer.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cressrail.buffers.pipe import Kept
 from cressrail.buffers.pool import Chain
 from cressrail.http1 import body as bodies
 from cressrail.http1.head import Fields, Malformed, length, split_head, words
@@ -21,11 +22,23 @@
     body: Chain | None = None
     kind: bytes = b""  # content-type
     come_back_us: int = 0
+    length: int | None = None  # of a body that still comes, where its endpoint has stated it
 
-    def head(self, keep: bool) -> bytes:
-        size = self.body.size if self.body else 0
-        lines = [b"HTTP/1.1 %d %s" % (self.status, REASONS.get(self.status, b"-")),
-                 b"content-length: %d" % size]
+    @property
+    def streams(self) -> bool:
+        return isinstance(self.body, Kept) and self.body.rest is not None
+
+    def chunked(self, modern: bool) -> bool:
+        """`modern`: the client reads HTTP/1.1. To one that does not, only the end of the connection tells."""
+        return self.streams and self.length is None and modern
+
+    def head(self, keep: bool, modern: bool = True) -> bytes:
+        size = (self.length if self.streams else self.body.size) if self.body else 0
+        lines = [b"HTTP/1.1 %d %s" % (self.status, REASONS.get(self.status, b"-"))]
+        if size is not None:
+            lines.append(b"content-length: %d" % size)
+        elif modern:
+            lines.append(b"transfer-encoding: chunked")
         if self.kind:
             lines.append(b"content-type: " + self.kind)
         if self.come_back_us:
@@ -45,12 +58,18 @@
         self.status = 0
         self.fields = Fields()
         self.keep = False  # the connection, afterwards
+        self.length: int | None = None  # of the body, where it is stated
         self._body: bodies.Body | None = None
 
     @property
     def done(self) -> bool:
         return self._body is not None and self._body.done
 
+    @property
+    def begun(self) -> bool:
+        """Its head is there."""
+        return self._body is not None
+
     def get(self, name: bytes) -> bytes:
         return self.fields.first.get(name, b"")
 
@@ -93,6 +112,7 @@
         elif codings:
             self._body = bodies.Chunked(self.sink, self.most)
         elif size is not None:
+            self.length = size
             self._body = bodies.Counted(self.sink, self.most, size)
         else:
             self._body = bodies.UntilEnd(self.sink, self.most)
--- a/cressrail/http1/body.py
+++ b/cressrail/http1/body.py
@@ -6,13 +6,11 @@
 
 from cressrail.http1.head import Malformed
 
-MOST = 65536  # bytes of a request's body
+MOST = 1 << 30  # bytes of a body
 LINE = 1024  # bytes of a line between chunks
 
 
 class Sink(Protocol):
-    size: int
-
     def add(self, data: memoryview, /) -> None: ...
 
 
@@ -24,6 +22,7 @@
     def __init__(self, sink: Sink, most: int) -> None:
         self.sink = sink
         self.most = most
+        self.seen = 0
 
     def take(self, data: memoryview) -> int:
         raise NotImplementedError
@@ -32,7 +31,8 @@
         raise Malformed(400, "ends inside a body")
 
     def _add(self, data: memoryview) -> None:
-        if self.sink.size + len(data) > self.most:
+        self.seen += len(data)
+        if self.seen > self.most:
             raise Malformed(413, "body too large")
         self.sink.add(data)
 
@@ -106,3 +106,8 @@
                 raise Malformed(400, "chunk that is none")
             self.left = int(size, 16)
             self.at = "data" if self.left else "trailer"
+
+
+def chunk(parts: list[memoryview], size: int) -> list[memoryview]:
+    """These bytes as one chunk; nothing of none, which would end the body."""
+    return [memoryview(b"%x\r\n" % size), *parts, memoryview(b"\r\n")] if size else []
--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 
+from cressrail.buffers.pipe import Kept
 from cressrail.buffers.pool import Chain
 from cressrail.http1 import body as bodies
 from cressrail.http1.head import BY_HOP, TOKEN, Fields, Malformed, length, split_head, words
@@ -21,6 +22,21 @@
     fields: Fields
     body: Chain
     keep: bool  # the connection, afterwards
+    length: int | None = None  # of the body, where it is stated
+    modern: bool = True  # its client reads HTTP/1.1
+
+    @property
+    def streams(self) -> bool:
+        return isinstance(self.body, Kept) and self.body.rest is not None
+
+    @property
+    def chunked(self) -> bool:
+        return self.streams and self.length is None
+
+    @property
+    def spent(self) -> bool:
+        """It can't be sent anew."""
+        return isinstance(self.body, Kept) and self.body.spent
 
     @property
     def path(self) -> bytes:
@@ -38,7 +54,11 @@
         lines = [self.method + b" " + self.target + b" HTTP/1.1", b"host: " + host.encode(),
                  b"req-deadline: %du" % remaining_us]
         lines += [name + b": " + value for name, value in self.fields if name not in dropped]
-        if self.body.size or self.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        if self.chunked:
+            lines.append(b"transfer-encoding: chunked")
+        elif self.streams:
+            lines.append(b"content-length: %d" % (self.length or 0))
+        elif self.body.size or self.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             lines.append(b"content-length: %d" % self.body.size)
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
@@ -59,13 +79,13 @@
     def __init__(self, body: Chain) -> None:
         self.chain = body
         self.whole: Request | None = None
+        self.begun: Request | None = None  # its head is whole
         self.wants_go_on = False  # the client waits to be told before it sends the body
-        self._head: Request | None = None
         self._body: bodies.Body | None = None
 
     def feed(self, data: memoryview) -> int:
         used = 0
-        if self._head is None:
+        if self.begun is None:
             found = split_head(data, False)
             if found is None:
                 return 0
@@ -75,7 +95,7 @@
         if not self._body.done:
             used += self._body.take(data[used:])
         if self._body.done:
-            self.whole = self._head
+            self.whole = self.begun
         return used
 
     def _begin(self, first: bytes, fields: Fields) -> None:
@@ -86,10 +106,10 @@
         if len(named) > len(set(named)) or any(word.startswith(ONCE) for word in options):
             raise Malformed(400, "fields that may be read in two ways")
         keep = b"close" not in options and (first.endswith(b"1") or b"keep-alive" in options)
-        self._head = Request(method, target, fields, self.chain, keep)
         size, codings = length(fields), words(fields, b"transfer-encoding")
         if codings and (size is not None or codings != [b"chunked"]):
             raise Malformed(400, "framing that may be read in two ways")
+        self.begun = Request(method, target, fields, self.chain, keep, size, first.endswith(b"1"))
         self._body = (bodies.Chunked(self.chain, bodies.MOST) if codings
                       else bodies.Counted(self.chain, bodies.MOST, size or 0))
         self.wants_go_on = not self._body.done and b"100-continue" in words(fields, b"expect")
--- a/cressrail/sockets/client.py
+++ b/cressrail/sockets/client.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import Any
 
-from cressrail.buffers.pool import Chain, Exhausted
+from cressrail.buffers.pipe import Kept, Pipe
+from cressrail.buffers.pool import Exhausted
+from cressrail.http1.body import chunk
 from cressrail.http1.head import Malformed
-from cressrail.http1.request import RequestReader
-from cressrail.loop.scheduler import LEFT, MAIL, NEVER, READ
-from cressrail.sockets.net import Net
+from cressrail.http1.request import Request, RequestReader
+from cressrail.loop.scheduler import LEFT, MAIL, NEVER, READ, TIMED_OUT
+from cressrail.sockets.net import SHORT_US, STIR, Net
 from cressrail.sockets.stream import Called, Late, Stream
 from cressrail.traffic.effects import Read, Shut, Write
 from cressrail.traffic.reducer import FRESH_US
 
 LINGER_US = 500_000
+UPLOAD_LINGER_US = 2_000_000  # the rest of a request that is answered before it is whole
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+PACE_US, PACE_BYTES = 2_500_000, 96 << 10  # good clients send 64 kB a second; those far below are ended
+STEP = 16 << 10  # bytes of a body that is kept, by which it makes good progress
 
 
 class ClientTask:
@@ -23,7 +29,9 @@
         self.net = net
         self.number = number
         self.stream = Stream(net.loop, net.pool, sock)
-        self.body: Chain | None = None  # of a request that is not whole yet
+        self.body: Kept | None = None  # of a request that is not whole yet
+        self.upload: RequestReader | None = None  # of one that goes on before it is whole, and where to
+        self.rest: Pipe | None = None
         self.since_us = net.now()  # its first request is due from here; -1 after that: from its own begin
         self.junk = False  # what it sent is not read to its end
 
@@ -40,7 +48,9 @@
                     self._write(message)
                 elif isinstance(message, Shut) and not message.idle:
                     # Guards against closed connections that hold descriptors while new clients wait for them.
-                    if self.junk or self.stream.inlet.unread():
+                    if self.upload is not None:
+                        self.stream.linger(self.net.now() + UPLOAD_LINGER_US)
+                    elif self.junk or self.stream.inlet.unread():
                         self.stream.linger(self.net.now() + LINGER_US)
                     return
                 elif message is None:
@@ -51,6 +61,8 @@
             self.stream.close()
             if self.body is not None:
                 self.body.give_back()
+            if self.rest is not None and self.upload is not None:
+                self.rest.fail()
             for message in task.mail:  # an answer that came too late for its client
                 if isinstance(message, Write) and message.answer.body is not None:
                     message.answer.body.give_back()
@@ -60,13 +72,65 @@
     def _message(self, mail: Any) -> Any:
         """The next thing to do, or nothing if the client leaves first."""
         while not mail:
-            if self.net.loop.wait(self.stream.fd, LEFT) != MAIL:
+            if self.upload is not None:
+                if not self._pump(mail):
+                    return None
+            elif self.net.loop.wait(self.stream.fd, LEFT) != MAIL:
                 return None
         return mail.popleft()
 
+    def _pump(self, mail: Any) -> bool:
+        """The rest of a large request goes on to where it is wanted, until there is something else to do;
+        false if the client leaves amid it."""
+        stream, reader, rest, now = self.stream, self.upload, self.rest, self.net.now
+        assert reader is not None and rest is not None
+        until_us, seen = now() + PACE_US, 0
+        while not mail:
+            if not rest.roomy():
+                if not self._room(rest):
+                    return False
+                until_us, seen = now() + PACE_US, 0  # it was not the client who halted
+                continue
+            try:
+                n = stream.read()
+                if n == 0:
+                    return False
+                if n < 0:
+                    if self.net.loop.wait(stream.fd, READ, until_us) == TIMED_OUT:
+                        raise Malformed(408, "request too slow")
+                    continue
+                seen += n
+                if seen >= PACE_BYTES:
+                    until_us, seen = now() + PACE_US, 0
+                stream.inlet.use(reader.feed(stream.inlet.unread()))
+            except Exhausted:
+                self.net.loop.wait(until_us=now() + SHORT_US)
+            except Malformed as fault:
+                self.upload, self.junk = None, True
+                rest.fail()
+                self.net.tell(self.net.reducer.request_broke(now(), self.number, fault.status, str(fault)))
+                return True
+            if reader.whole is not None:
+                self._uploaded()
+        return True
+
+    def _room(self, rest: Pipe) -> bool:
+        """Waits for what is on its way to go on; false if the client leaves."""
+        task = self.net.loop.current
+        assert task is not None
+        if not rest.crowded():  # the pool is short, and anybody's giving back ends that
+            self.net.loop.wait(until_us=self.net.now() + SHORT_US)
+            return True
+        rest.on_room = lambda: self.net.loop.post(task, STIR)
+        why = self.net.loop.wait(self.stream.fd, LEFT)
+        rest.on_room = None
+        _purge(task.mail)
+        return why == MAIL
+
     def _read(self) -> bool:
         """Until a request is whole, or what came is none; false if the connection is over."""
         stream, reader, until_us, since_us, looked = self.stream, None, NEVER, self.since_us, False
+        step = 0  # of the request's bytes, at the last of which it was told to make progress; 0: no head yet
         while True:
             if stream.inlet.unread():
                 try:
@@ -75,18 +139,24 @@
                         since_us = since_us if since_us >= 0 else now
                         self.net.tell(self.net.reducer.request_began(now, self.number))
                         until_us = now + self.net.patience_us
-                        self.body = Chain(self.net.pool)
+                        self.body = Kept(self.net.pool)
                         reader = RequestReader(self.body)
                     stream.inlet.use(reader.feed(stream.inlet.unread()))
                 except Malformed as fault:
                     return self._junk(fault.status, str(fault))
                 except Exhausted:
                     return self._junk(503, "no buffer left")
+                if reader.begun is not None and reader.begun.streams:
+                    return self._begin(reader, reader.begun)
                 if reader.whole is not None:
                     self.body, self.since_us = None, -1  # the body is the reducer's from here on
                     self.net.tell(self.net.reducer.request_came(
                         self.net.now(), self.number, reader.whole, stream.arrived_us))
                     return True
+                if reader.begun is not None and self.body is not None and self.body.size // STEP + 1 > step:
+                    step = self.body.size // STEP + 1
+                    until_us = self.net.now() + self.net.patience_us
+                    self.net.tell(self.net.reducer.request_goes_on(self.net.now(), self.number))
                 if reader.wants_go_on:
                     reader.wants_go_on = False
                     stream.send([memoryview(GO_ON)], until_us)
@@ -111,6 +181,22 @@
                 if reader is not None and self.net.now() - since_us >= FRESH_US:
                     return self._junk(408, "request long in coming")
 
+    def _begin(self, reader: RequestReader, request: Request) -> bool:
+        """One too large to keep goes on before it is whole, or with what came last of it."""
+        assert self.body is not None
+        self.upload, self.rest = reader, self.body.rest
+        self.body, self.since_us = None, -1
+        self.net.tell(self.net.reducer.request_came(self.net.now(), self.number, request, self.net.now()))
+        if reader.whole is not None:
+            self._uploaded()
+        return True
+
+    def _uploaded(self) -> None:
+        assert self.rest is not None
+        self.upload = None
+        self.net.tell(self.net.reducer.request_whole(self.net.now(), self.number, self.stream.arrived_us))
+        self.rest.close()
+
     def _junk(self, status: int, why: str) -> bool:
         self.junk = True
         if self.body is not None:
@@ -120,11 +206,51 @@
         return True
 
     def _write(self, message: Write) -> None:
-        body = message.answer.body
+        answer = message.answer
+        body, chunked = answer.body, answer.chunked(message.modern)
+        head = memoryview(answer.head(not message.last, message.modern))
         try:
-            parts = [memoryview(message.answer.head(not message.last)), *(body.views() if body else [])]
-            self.stream.send(parts, self.net.now() + self.net.patience_us)
+            kept = body.views() if body else []
+            self.stream.send([head, *(chunk(kept, body.size) if chunked and body else kept)],
+                             self.net.now() + self.net.patience_us)
+            if isinstance(body, Kept) and body.rest is not None:
+                body.give_kept_back()
+                self._pass_on(body.rest, chunked, answer.length is None and not message.modern)
         finally:
             if body is not None:
                 body.give_back()
         self.net.tell(self.net.reducer.written(self.net.now(), self.number))
+
+    def _pass_on(self, rest: Pipe, chunked: bool, ends_with_it: bool) -> None:
+        """What still comes of an answer, as it comes. One that breaks off ends the connection short."""
+        task = self.net.loop.current
+        assert task is not None
+        while True:
+            if parts := rest.peek():
+                size = sum(map(len, parts))
+                self.stream.send(chunk(parts, size) if chunked else list(parts),
+                                 self.net.now() + self.net.patience_us)
+                del parts
+                rest.used(size)
+            elif rest.failed:
+                if ends_with_it:  # nothing else tells a client of this kind that it is not whole
+                    self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                raise ConnectionError("the answer broke off")
+            elif rest.closed:
+                break
+            else:
+                rest.on_data = lambda: self.net.loop.post(task, STIR)
+                why = self.net.loop.wait(self.stream.fd, LEFT)
+                rest.on_data = None
+                _purge(task.mail)
+                if why != MAIL:
+                    raise ConnectionError("the client left")
+        if chunked:
+            self.stream.send([memoryview(b"0\r\n\r\n")], self.net.now() + self.net.patience_us)
+
+
+def _purge(mail: Any) -> None:
+    """Stirs that came for a wait that is over."""
+    for _ in range(len(mail)):
+        if (message := mail.popleft()) is not STIR:
+            mail.append(message)
--- a/cressrail/sockets/link.py
+++ b/cressrail/sockets/link.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import NamedTuple
 
 from cressrail.brain import Outcome
-from cressrail.buffers.pool import Chain, Exhausted
-from cressrail.http1.answer import AnswerReader
+from cressrail.buffers.pipe import KEPT, Kept, Pipe
+from cressrail.buffers.pool import Exhausted
+from cressrail.http1.answer import Answer, AnswerReader
+from cressrail.http1.body import MOST, chunk
 from cressrail.http1.head import Malformed
-from cressrail.loop.scheduler import MAIL, READ
-from cressrail.sockets.net import Net
+from cressrail.http1.request import Request
+from cressrail.loop.scheduler import MAIL, READ, TIMED_OUT, WRITE
+from cressrail.sockets.net import SHORT_US, STIR, Net
 from cressrail.sockets.stream import SHORT, Called, Late, Rest, Stream
-from cressrail.traffic.effects import CallOff, Carry
+from cressrail.traffic.effects import CallOff, Carry, Write
 
 REST_SHARE = 0.6  # of the time after which an endpoint may close an idle connection
 
@@ -28,6 +32,7 @@
         self.net = net
         self.number = number
         self.stream: Stream | None = None
+        self.passed = False  # the answer is the client's, who gets it as it comes
 
     def run(self) -> None:
         try:
@@ -66,23 +71,27 @@
 
     def _carry(self, job: Carry) -> bool:
         """One hop; true if the connection is fit for another."""
-        body, kind = Chain(self.net.pool), b""
-        reader = AnswerReader(body, self.net.answer_most, job.request.method == b"HEAD")
+        body, kind = Kept(self.net.pool), b""
+        reader = AnswerReader(body, MOST, job.request.method == b"HEAD")
         end = End(Outcome.CALLED_OFF, "fault")
+        self.passed = False
         try:
-            end = self._attempt(job, reader)
+            end = self._attempt(job, reader, body)
             kind = reader.get(b"content-type")
         finally:
-            if end.how is not Outcome.COMMITTED:
+            whole = end.how is Outcome.COMMITTED
+            if self.passed and body.rest is not None:  # it is the client's, who learns how it ended
+                (body.rest.close if whole else body.rest.fail)()
+            elif not whole:
                 body.give_back()
             if not end.keep:
                 self._close()
             self.net.tell(self.net.reducer.hop_ended(
                 self.net.now(), job.hop, end.how, end.keep,
-                body if end.how is Outcome.COMMITTED else None, kind, end.why, end.refused))
+                body if whole and not self.passed else None, kind, end.why, end.refused))
         return end.keep
 
-    def _attempt(self, job: Carry, reader: AnswerReader) -> End:
+    def _attempt(self, job: Carry, reader: AnswerReader, body: Kept) -> End:
         try:
             self._prepare(job)
         except (Late, OSError) as fault:
@@ -97,19 +106,91 @@
         assert stream is not None
         if not self.net.reducer.still_wanted(job.hop, job.host, job.port):
             return End(Outcome.TURNED_AWAY, "drains, or has left")
-        now = self.net.now()
-        if now >= job.until_us:  # guards against an endpoint blamed for the time that its hop was given
+        now, until_us = self.net.now(), job.until_us
+        if now >= until_us:  # guards against an endpoint blamed for the time that its hop was given
             return End(Outcome.NEVER_SENT, "no time left")
         try:
             host = f"[{job.host}]" if ":" in job.host else job.host
-            head = job.request.onward(f"{host}:{job.port}", job.until_us - now)
-            stream.send([memoryview(head), *job.request.body.views()], job.until_us, mail=True)
+            left_us = min(until_us - now, self.net.patience_us)  # one that still comes has no end yet
+            head = memoryview(job.request.onward(f"{host}:{job.port}", left_us))
+            kept = job.request.body.views()
+            if job.request.chunked:
+                kept = chunk(kept, job.request.body.size)
+            stream.send([head, *kept], min(until_us, now + self.net.patience_us), mail=True)
         except (Late, OSError) as fault:  # before the last byte was written: it never ran
             return End(Outcome.UNREACHED, str(fault) or "not written in time")
         except Called:
             return End(Outcome.CALLED_OFF)
-        self.net.reducer.hop_written()
-        return self._answer(job, stream, reader)
+        if job.request.streams:
+            early = self._upload(job.request, stream, reader)
+            if early is not None:
+                return early
+            until_us = self.net.reducer.due_us(job.hop)
+        self.net.reducer.hop_written(self.net.now(), job.hop)
+        return self._answer(job, stream, reader, body, until_us)
+
+    def _upload(self, request: Request, stream: Stream, reader: AnswerReader) -> End | None:
+        """The rest of a large request as it comes; nothing once all of it is written, else how the hop ended.
+        Before its last byte is written nothing of it runs. An answer that comes before is looked out for."""
+        task = self.net.loop.current
+        rest = request.body.rest if isinstance(request.body, Kept) else None
+        assert task is not None and rest is not None
+        left: list[memoryview] = []
+        held, last = 0, False
+        try:
+            while True:
+                if not left:
+                    rest.used(held)  # not before: what is not written whole may be sent anew
+                    held = 0
+                    if rest.failed:
+                        return End(Outcome.CALLED_OFF, "its client broke off")
+                    if last:
+                        return None
+                    if parts := rest.peek():
+                        held = sum(map(len, parts))
+                        left = chunk(parts, held) if request.chunked else parts
+                    elif rest.closed:
+                        last = True
+                        left = [memoryview(b"0\r\n\r\n")] if request.chunked else []
+                        continue
+                if left and stream.some(left):
+                    continue
+                if not left:
+                    rest.on_data = lambda: self.net.loop.post(task, STIR)
+                    why = self.net.loop.wait(stream.fd, READ)
+                    rest.on_data = None
+                else:
+                    why = self.net.loop.wait(stream.fd, READ | WRITE, self.net.now() + self.net.patience_us)
+                if why == TIMED_OUT:
+                    return End(Outcome.UNREACHED, "not written in time")
+                if why == MAIL:
+                    if task.mail[0] is not STIR:
+                        return End(Outcome.CALLED_OFF)
+                    task.mail.clear()
+                elif why & ~WRITE and self._early(stream, reader):
+                    return self._told(reader, False)
+        except (OSError, Malformed) as fault:
+            # It may have said why before it closed.
+            with suppress(OSError, Malformed, Exhausted):
+                if reader.done or self._early(stream, reader):
+                    return self._told(reader, False)
+            return End(Outcome.UNREACHED, str(fault) or "ended")
+        except Exhausted:
+            return End(Outcome.CALLED_OFF, "no buffer left")
+        finally:
+            left.clear()
+
+    def _early(self, stream: Stream, reader: AnswerReader) -> bool:
+        """Whether an answer is whole by now; raises `Malformed` if the connection ends before."""
+        while not reader.done:
+            n = stream.read()
+            if n < 0:
+                return False
+            if n == 0:
+                reader.ended()
+            else:
+                stream.inlet.use(reader.feed(stream.inlet.unread()))
+        return True
 
     def _prepare(self, job: Carry) -> None:
         self._check()
@@ -117,26 +198,71 @@
             until_us = min(job.until_us, self.net.now() + self.net.connect_us)
             self.stream = Stream.connect(self.net.loop, self.net.pool, job.host, job.port, until_us, True)
 
-    def _answer(self, job: Carry, stream: Stream, reader: AnswerReader) -> End:
+    def _answer(self, job: Carry, stream: Stream, reader: AnswerReader, body: Kept, until_us: int) -> End:
         try:
-            stream.await_(READ, job.until_us, mail=True)  # a look so soon would find nothing
+            stream.await_(READ, until_us, mail=True)  # a look so soon would find nothing
             while not reader.done:
-                n = stream.read()
+                if body.rest is not None and not body.rest.roomy():
+                    self._room(body.rest)
+                    continue
+                try:
+                    n = stream.read()
+                except Exhausted:
+                    if not self.passed:
+                        return End(Outcome.CALLED_OFF, "no buffer left")
+                    self.net.loop.wait(until_us=self.net.now() + SHORT_US, mail=False)
+                    continue
                 if n == 0:
                     reader.ended()
                 elif n < 0:
-                    stream.await_(READ, job.until_us, mail=True)
+                    # One that is passed on has no limit but silence: its client waits for its end.
+                    stream.await_(READ, self.net.now() + self.net.patience_us if self.passed else until_us,
+                                  mail=True)
                 else:
                     stream.inlet.use(reader.feed(stream.inlet.unread()))
+                    if reader.begun and not self.passed and not self._pass_on(job, reader, body):
+                        break
         except Late:
-            return End(Outcome.TIMED_OUT)
+            return End(Outcome.DROPPED if self.passed else Outcome.TIMED_OUT, "silent" if self.passed else "")
         except Called:
             return End(Outcome.CALLED_OFF)
         except Exhausted:
             return End(Outcome.CALLED_OFF, "no buffer left")
         except (OSError, Malformed) as fault:
             return End(Outcome.DROPPED, str(fault))
-        keep = reader.keep and not stream.inlet.unread()
+        if reader.status == 200 and not reader.done:
+            return End(Outcome.CALLED_OFF)  # nobody wants it any more
+        return self._told(reader, reader.done and reader.keep and not stream.inlet.unread())
+
+    def _pass_on(self, job: Carry, reader: AnswerReader, body: Kept) -> bool:
+        """Whether to read on. An answer too large to keep is the client's from here on; of one that is not to
+        be passed on, the status is all that counts."""
+        if body.rest is None and (reader.length or 0) <= KEPT:
+            return True
+        if reader.status != 200:
+            return False
+        body.open()
+        effects = self.net.reducer.hop_streams(self.net.now(), job.hop, Answer(
+            200, body, reader.get(b"content-type"), length=reader.length))
+        self.passed = any(isinstance(effect, Write) for effect in effects)
+        self.net.tell(effects)
+        return self.passed
+
+    def _room(self, rest: Pipe) -> None:
+        """Waits for the client to take what there is. Raises `Called` if it is not to go on."""
+        task = self.net.loop.current
+        assert task is not None
+        if not rest.crowded():  # the pool is short, and anybody's giving back ends that
+            self.net.loop.wait(until_us=self.net.now() + SHORT_US, mail=False)
+            return
+        rest.on_room = lambda: self.net.loop.post(task, STIR)
+        self.net.loop.wait()
+        rest.on_room = None
+        if task.mail[0] is not STIR:
+            raise Called
+        task.mail.popleft()
+
+    def _told(self, reader: AnswerReader, keep: bool) -> End:
         if reader.status == 200:
             return End(Outcome.COMMITTED, keep=keep)
         declined = reader.status in (503, 504) and reader.get(b"srv-declined") == b"1"
--- a/cressrail/sockets/net.py
+++ b/cressrail/sockets/net.py
@@ -12,10 +12,13 @@
 from cressrail.traffic.effects import Effect
 from cressrail.traffic.reducer import Reducer
 
+STIR = "stir"  # the other side of a pipe has done something
+SHORT_US = 5_000  # a look again where the pool is short
+
 
 class Net:
     def __init__(self, loop: Scheduler, pool: Pool, reducer: Reducer, log: Lines, *, connect_us: int,
-                 idle_us: int, patience_us: int, answer_most: int) -> None:
+                 idle_us: int, patience_us: int) -> None:
         self.loop = loop
         self.now = loop.now
         self.pool = pool
@@ -24,7 +27,6 @@
         self.connect_us = connect_us  # for a connection to come up
         self.idle_us = idle_us  # after which an endpoint may close an idle one
         self.patience_us = patience_us  # with a client that sends or reads slowly
-        self.answer_most = answer_most  # bytes of an endpoint's answer
         self.clients: dict[int, Task] = {}
         self.links: dict[int, Task] = {}
         self.listener: Task | None = None
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -28,7 +28,6 @@
 SPARE = 16  # descriptors for all that is neither client nor endpoint, and for those on their way out
 BUFFERS_SHARE = 0.5  # of the memory limit
 YOUNG = 5_000  # objects between two collections
-ANSWER_PARTS = 8  # one such part of the buffers is the most that an answer may take
 
 
 def room(sockets: int, aside: int = 0) -> Room:
@@ -56,8 +55,7 @@
                       longest_us := max(p.hard_limit_us for p in profiles.values()), start.discovery)
     pool = Pool(int(start.memory_mb * BUFFERS_SHARE * (1 << 20)) // SIZE)
     connect_us, idle_us = parts.waits(start.told)
-    net = Net(loop, pool, reducer, log, connect_us=connect_us, idle_us=idle_us, patience_us=longest_us,
-              answer_most=pool.most * SIZE // ANSWER_PARTS)
+    net = Net(loop, pool, reducer, log, connect_us=connect_us, idle_us=idle_us, patience_us=longest_us)
     # Only with a door for operators: without it nothing is written under $TMPDIR, and nothing shared.
     path = meeting(start.listen, os.environ.get("TMPDIR")) if start.ops else None
     elder = seek(path, start.listen) if path else None
--- a/cressrail/sockets/stream.py
+++ b/cressrail/sockets/stream.py
@@ -67,15 +67,20 @@
     def send(self, parts: list[memoryview], until_us: int = NEVER, mail: bool = False) -> None:
         parts = [part for part in parts if part]
         while parts:
-            try:
-                n = self.sock.sendmsg(parts[:PARTS])
-            except BlockingIOError:
+            if not self.some(parts):
                 self.await_(WRITE, until_us, mail)
-                continue
-            while parts and n >= len(parts[0]):
-                n -= len(parts.pop(0))
-            if n:
-                parts[0] = parts[0][n:]
+
+    def some(self, parts: list[memoryview]) -> bool:
+        """Writes what goes without waiting, and takes it out; false if nothing did."""
+        try:
+            n = self.sock.sendmsg(parts[:PARTS])
+        except BlockingIOError:
+            return False
+        while parts and n >= len(parts[0]):
+            n -= len(parts.pop(0))
+        if n:
+            parts[0] = parts[0][n:]
+        return True
 
     def read(self) -> int:
         """How many bytes more there are to use: 0 at the end, -1 if none have come yet."""
--- a/cressrail/sockets/watch.py
+++ b/cressrail/sockets/watch.py
@@ -18,8 +18,6 @@
 class LinesSink:
     """Takes a body that never ends and hands on its lines."""
 
-    size = 0  # nothing is kept but the line that is not whole yet
-
     def __init__(self) -> None:
         self.text = bytearray()
 
--- a/cressrail/traffic/effects.py
+++ b/cressrail/traffic/effects.py
@@ -26,6 +26,7 @@
     client: int
     answer: Answer
     last: bool  # the connection closes after it
+    modern: bool = True  # the client reads HTTP/1.1
 
 
 class Shut(NamedTuple):
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -37,6 +37,7 @@
 SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
 HEIR_IDLE_US = 8_000_000  # so long a client may ask once more of a process that has handed over
 DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
+NEVER_US = 1 << 50  # from now on: the time of what still comes does not run
 HEALTH = b"/_health"
 
 
@@ -56,6 +57,8 @@
     hops: dict[int, int] = field(default_factory=dict)  # the transaction's numbers to this process's
     sent: int = 0
     rejected: bool = False
+    limit_us: int = 0  # the time it has once the client has sent it whole
+    streams: bool = False  # its answer is being passed on
 
 
 @dataclass(slots=True)
@@ -65,6 +68,7 @@
     endpoint: int
     link: int
     sent_us: int
+    took_us: int = -1  # to the first bytes of an answer that is passed on as it comes
 
 
 @dataclass(slots=True)
@@ -192,9 +196,17 @@
             self.fresh_clients[client] = now
         return self._out(now, [])
 
+    def request_goes_on(self, now: int, client: int) -> list[Effect]:
+        """Its head is whole, or a good part more of its body. Guards against slow clients who make good
+        progress being taken for those who halt."""
+        if self.fresh_clients.pop(client, None) is not None:
+            self.fresh_clients[client] = now
+        return self._out(now, [])
+
     def request_came(self, now: int, client: int, request: Request, arrived_us: int) -> list[Effect]:
         held = self.clients[client]
-        held.keep = request.keep
+        # One that is answered before it has come whole is the last: what is left of it may never come.
+        held.keep = request.keep and not request.streams
         self.fresh_clients.pop(client, None)  # it may just have been told to give its place up
         if request.path == HEALTH:
             return self._reply(now, client, 200 if self.ready(now) else 503, request.body)
@@ -211,9 +223,7 @@
         elsewhere = self.foreign_ids.get(name, 0) > now
         if limit_us is None or name in self.open_ids or elsewhere:  # an id is of one request only
             return self._reply(now, client, 400, request.body, counted)
-        limit_us = min(limit_us, profile.hard_limit_us)
-        if not self.door:  # guards against a transaction taken late in a stop that is cut off unanswered
-            limit_us = min(limit_us, self.hang_up_us + self._last_us() - STOP_SPARE_US - now)
+        limit_us = self._bounded(now, min(limit_us, profile.hard_limit_us))
         if held.surplus:
             return [do.Note("no_room", {"side": "clients", "open": len(self.clients)}),
                     *self._reply(now, client, 503, request.body, counted)]
@@ -221,12 +231,44 @@
             # Guards against a repeat that nothing marks as one.
             profile = replace(profile, kind=NON_IDEMPOTENT)
         member = self.members.get(request.get(b"req-owner") or "", -1)
-        tx = self.sidecar.take(now, profile, member, max(0, limit_us - (now - arrived_us)))
+        left_us = NEVER_US if request.streams else max(0, limit_us - (now - arrived_us))
+        tx = self.sidecar.take(now, profile, member, left_us)
         held.tx = tx
-        self.txs[tx] = Held(client, request)
+        self.txs[tx] = Held(client, request, limit_us=limit_us)
         self.open_ids[name] = client
         return self._out(now, self._decided(now, tx.route(now)))
 
+    def _bounded(self, now: int, limit_us: int) -> int:
+        """Guards against a transaction taken late in a stop that is cut off unanswered."""
+        if self.door:
+            return limit_us
+        return min(limit_us, self.hang_up_us + self._last_us() - STOP_SPARE_US - now)
+
+    def request_whole(self, now: int, client: int, arrived_us: int) -> list[Effect]:
+        """The last byte of one that was taken before it was whole, if it still waits for its answer."""
+        tx = self.clients[client].tx
+        if tx is None or tx.closed:
+            return []
+        held = self.txs[tx]
+        self.clients[client].keep = held.request.keep
+        tx.run(now, max(0, self._bounded(now, held.limit_us) - (now - arrived_us)))
+        return self._out(now, [])
+
+    def request_broke(self, now: int, client: int, status: int, why: str) -> list[Effect]:
+        """One that was taken before it was whole, and never will be. An endpoint begins nothing that has not
+        come whole, so nothing of it has run."""
+        held = self.clients[client]
+        tx, held.keep = held.tx, False
+        out: list[Effect] = [do.Note("junk", {"from": "client", "what": why})]
+        if tx is None or tx.closed:  # it has its answer already
+            return self._out(now, out)
+        kind = self.txs[tx].request.get(b"req-kind")
+        self._shut_id(tx)
+        held.tx = None
+        out += self._decided(now, tx.vanished())
+        out += self._release(tx)
+        return [*out, *self._reply(now, client, status, None, kind)]
+
     def request_junk(self, now: int, client: int, status: int, why: str) -> list[Effect]:
         self.clients[client].keep = False
         self.idle_clients.pop(client, None)
@@ -254,15 +296,37 @@
 
     # Hops
 
+    def due_us(self, hop: int) -> int:
+        """Until when a hop is waited for, once its request has come whole."""
+        return self.hops[hop].tx.end_us
+
     def still_wanted(self, hop: int, host: str, port: int) -> bool:
         """Asked just before a hop's first byte: whether its endpoint still is as it was when chosen."""
         held = self.hops[hop]
         at = self.roster.addresses[held.endpoint]
         return self.sidecar.endpoints[held.endpoint].on and (at.host, at.port) == (host, port)
 
-    def hop_written(self) -> None:
-        """Its last byte has gone to its endpoint."""
+    def hop_written(self, now: int, hop: int) -> None:
+        """Its last byte has gone to its endpoint, which begins a request only then."""
         self.tally.sends += 1
+        held = self.hops[hop]
+        if self.txs[held.tx].request.streams:
+            held.sent_us = now
+
+    def hop_streams(self, now: int, hop: int, answer: Answer) -> list[Effect]:
+        """An answer too large to keep has begun. From here on it is the client's; there is no other."""
+        held = self.hops[hop]
+        tx = held.tx
+        if tx.closed:
+            return [do.CallOff(held.link, hop)]
+        held.took_us = now - held.sent_us
+        of = self.txs[tx]
+        of.streams = True
+        client = self.clients[of.client]
+        if answer.length is None and not of.request.modern:
+            client.keep = False  # its end is told by the end of the connection alone
+        return self._out(now, [*self._decided(now, tx.under_way(held.number)),
+                               do.Write(of.client, answer, self._last(client), of.request.modern)])
 
     def hop_ended(self, now: int, hop: int, how: Outcome, keep: bool, body: Chain | None = None,
                   kind: bytes = b"", why: str = "", refused: bool = False) -> list[Effect]:
@@ -274,6 +338,13 @@
         if keep:
             out += self._rest(ended.link)
         complete = how is Outcome.COMMITTED and not tx.closed
+        took_us = now - ended.sent_us
+        tx.spent = tx.spent or held.request.spent
+        if ended.took_us >= 0:  # passed on as it came, to its end or not: there is no other answer
+            took_us = ended.took_us
+            if not tx.closed:
+                self._finish(tx, 200 if complete else 502)
+                complete = True
         if complete and body is not None:
             out += self._answer(tx, Answer(200, body, kind))
         elif body is not None:
@@ -283,7 +354,7 @@
                                        "endpoint": self.roster.addresses[ended.endpoint].name,
                                        "us": now - ended.sent_us}))
         held.rejected = how is Outcome.REJECTED
-        out += self._decided(now, tx.ended(ended.number, now, how, now - ended.sent_us, complete))
+        out += self._decided(now, tx.ended(ended.number, now, how, took_us, complete))
         self._forget(ended.endpoint)
         return self._out(now, [*out, *self._release(tx)])
 
@@ -486,12 +557,16 @@
         return self._out(now, [*out, do.Write(client, Answer(status), self._last(held))])
 
     def _answer(self, tx: Tx, answer: Answer) -> list[Effect]:
+        self._finish(tx, answer.status)
         client = self.txs[tx].client
-        held = self.clients[client]
-        held.tx = None
-        self.tally.ended(self.txs[tx].request.get(b"req-kind") or "", answer.status)
+        return [do.Write(client, answer, self._last(self.clients[client]))]
+
+    def _finish(self, tx: Tx, status: int) -> None:
+        """Its answer is final; the one place where a transaction with a client is counted."""
+        held = self.txs[tx]
+        self.clients[held.client].tx = None
+        self.tally.ended(held.request.get(b"req-kind") or "", status)
         self._shut_id(tx)
-        return [do.Write(client, answer, self._last(held))]
 
     def _shut_id(self, tx: Tx) -> None:
         del self.open_ids[self.txs[tx].request.get(b"req-id") or ""]
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,424 @@
+"""Bodies too large to keep, in both directions, amid peers that break off, reject early, or are slow."""
+
+from __future__ import annotations
+
+import copy
+import socket
+import struct
+from contextlib import suppress
+from typing import Any
+
+import pytest
+
+from cressrail.buffers.pipe import KEPT, MOST, Kept, Pipe
+from cressrail.buffers.pool import SIZE, Pool
+from cressrail.sockets import client
+from tests.helpers import Peer, Play, Script, ask, chunk, reply
+from tests.test_sockets import AWAY, CHUNKED, HEAD, serving
+
+LARGE = bytes(range(251)) * 4000  # about a megabyte
+
+
+def test_a_pipe_keeps_order_and_gives_every_buffer_back() -> None:
+    pool = Pool(50)
+    pipe, text, got, at = Pipe(pool), LARGE[:100_000], b"", 0
+    while len(got) < len(text):
+        while pipe.roomy() and at < len(text):
+            pipe.add(memoryview(text[at:at + 5000]))
+            at += 5000
+        assert pool.lent <= MOST + 1
+        view = b"".join(bytes(part) for part in pipe.peek())
+        n = min(len(view), 7001)
+        got += view[:n]
+        pipe.used(n)
+    assert got == text and pool.lent == 0 and pipe.taken
+
+
+def test_what_nobody_reads_any_more_holds_no_buffer_and_stops_nobody() -> None:
+    pool, calls = Pool(50), []
+    body = Kept(pool)
+    body.add(memoryview(b"x" * (KEPT + SIZE * MOST)))
+    assert body.size == KEPT and body.rest is not None and not body.rest.roomy()
+    body.rest.on_room = lambda: calls.append(1)
+    body.give_back()
+    body.rest.add(memoryview(b"y"))
+    assert pool.lent == 0 and calls == [1] and body.rest.roomy()
+
+
+def test_a_pool_that_others_have_emptied_halts_a_pipe_without_loss() -> None:
+    pool = Pool(1)
+    pool.take()
+    pipe = Pipe(pool)
+    assert not pipe.roomy() and not pipe.crowded()
+    pipe.add(memoryview(b"read already"))
+    assert bytes(pipe.peek()[0]) == b"read already"
+
+
+def hung_up_on(script: Script) -> Script:
+    """The same, by a peer that may find its connection closed."""
+    def run(peer: Peer) -> None:
+        with suppress(OSError):
+            script(peer)
+    return run
+
+
+def sized(body: bytes, more: bytes = b"") -> bytes:
+    return HEAD + more + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+def in_chunks(body: bytes, step: int = 30_000, ended: bool = True) -> bytes:
+    return HEAD + CHUNKED + b"".join(
+        b"%x;x=y\r\n%b\r\n" % (len(part), part) for part in
+        (body[at:at + step] for at in range(0, len(body), step))) + (b"0\r\nt: u\r\n\r\n" if ended else b"")
+
+
+def whole(peer: Peer) -> tuple[bytes, bytes]:
+    """Status, and the body in whatever framing, for as long as it goes on."""
+    head = peer.hear().lower()
+    if b"chunked" not in head:
+        size = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        return head[9:12], peer.take(int(size)) if size else peer.hear(b"\0never\0")
+    body = b""
+    while (line := peer.hear(b"\r\n")).strip():
+        if line == b"0\r\n":
+            peer.hear(b"\r\n")
+            return head[9:12], body
+        body += peer.take(int(line, 16) + 2)[:-2]
+    return head[9:12], body + b" cut"
+
+
+def heard_by_one(play: Play, sent: bytes = b"", times: int = 1) -> list[tuple[bytes, bytes]]:
+    heard: list[tuple[bytes, bytes]] = []
+
+    def script(peer: Peer) -> None:
+        for _ in range(times):
+            peer.say(sent or ask())
+            heard.append(whole(peer))
+
+    play.client(script)
+    play.run()
+    return heard
+
+
+@pytest.mark.parametrize("text, close", [
+    (sized(LARGE), False), (in_chunks(LARGE), False), (HEAD + b"\r\n" + LARGE, True),
+    (in_chunks(LARGE[:KEPT + 1], 1000), False), (sized(LARGE[:KEPT]), False)])
+def test_a_large_answer_goes_through_unchanged_in_any_framing(text: bytes, close: bool) -> None:
+    body = LARGE if len(text) >= len(LARGE) else LARGE[:KEPT + 1] if CHUNKED in text else LARGE[:KEPT]
+    play = Play([serving(text, close)])
+    heard = heard_by_one(play, ask() if close else b"", 1)
+    assert heard == [(b"200", body)]
+    assert play.reducer.tally.final["read"]["answered"] == 1
+
+
+def test_a_connection_serves_on_after_a_large_answer() -> None:
+    def endpoint(peer: Peer) -> None:
+        while peer.hear():
+            peer.say(in_chunks(LARGE))
+
+    play = Play([endpoint])
+    heard: list[Any] = []
+
+    def script(peer: Peer) -> None:
+        for _ in range(3):
+            peer.say(ask())
+            heard.append(whole(peer))
+
+    play.client(script)
+    play.run()
+    assert heard == [(b"200", LARGE)] * 3
+
+
+def test_the_first_bytes_go_on_before_the_rest_has_come() -> None:
+    got: list[bytes] = []
+
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        peer.say(sized(LARGE)[:1000])
+        peer.until(lambda: got)
+        peer.say(sized(LARGE)[1000:])
+
+    def script(peer: Peer) -> None:
+        peer.say(ask())
+        peer.hear()
+        got.append(peer.take(500))
+        assert got[0] + peer.take(len(LARGE) - 500) == LARGE
+
+    play = Play([endpoint])
+    play.client(script)
+    play.run()
+
+
+@pytest.mark.parametrize("text", [sized(LARGE)[:-1], in_chunks(LARGE, ended=False), sized(LARGE)[:90_000]])
+def test_a_large_answer_that_breaks_off_ends_short_and_is_errored(text: bytes) -> None:
+    seen: list[int] = []
+
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        seen.append(1)
+        peer.say(text)
+        peer.sock.close()
+
+    play = Play([endpoint])
+    heard: list[tuple[bytes, bytes]] = []
+    rest: list[bytes] = []
+
+    def script(peer: Peer) -> None:
+        peer.say(ask())
+        heard.append(whole(peer))
+        rest.append(peer.hear(b"\0never\0"))
+
+    play.client(script)
+    play.run()
+    [(status, body)] = heard
+    assert status == b"200" and body != LARGE and rest == [b""]  # and nothing follows
+    assert len(seen) == 1 and play.reducer.tally.final["read"] == {"answered": 0, "deferred": 0, "errored": 1}
+
+
+def test_to_an_old_client_an_answer_without_a_length_that_breaks_off_is_a_reset() -> None:
+    play = Play([serving(in_chunks(LARGE, ended=False), close=True)])
+    ends: list[int] = []
+
+    def script(peer: Peer) -> None:
+        peer.say(ask().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        peer.sleep(200_000)
+        while True:
+            try:
+                if not peer.sock.recv(1 << 20):
+                    ends.append(0)
+                    return
+            except BlockingIOError:
+                peer.sleep(1000)
+            except ConnectionResetError:
+                ends.append(1)
+                return
+
+    play.client(script)
+    play.run()
+    assert ends == [1]
+
+
+def test_a_slow_reader_holds_its_own_buffers_and_delays_nobody() -> None:
+    play = Play([hung_up_on(serving(sized(LARGE * 8))) for _ in range(2)])
+    lent: list[int] = []
+    done: list[bytes] = []
+
+    def slow(peer: Peer) -> None:
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.say(ask())
+        peer.until(lambda: done)
+        lent.append(play.net.pool.lent)
+
+    def quick(peer: Peer) -> None:
+        peer.sleep(50_000)
+        peer.say(ask())
+        status, body = whole(peer)
+        assert body == LARGE * 8
+        done.append(status)
+
+    play.client(slow)
+    play.client(quick)
+    play.run()
+    assert done == [b"200"] and lent[0] <= 2 * (MOST + 2)
+
+
+def uploading(body: bytes, framing: str, step: int = 40_000, pause: int = 0) -> Script:
+    def script(peer: Peer) -> None:
+        if framing == "length":
+            text = ask(Content_Length=str(len(body)), body=b"") + body
+        else:
+            text = ask(Content_Length="", Transfer_Encoding="chunked") + b"".join(
+                chunk(body[at:at + 9000]) for at in range(0, len(body), 9000)) + chunk(b"")
+        for at in range(0, len(text), step):
+            peer.say(text[at:at + step])
+            if pause:
+                peer.sleep(pause)
+    return script
+
+
+def taking(seen: list[tuple[bytes, bytes]], answer: bytes) -> Script:
+    """An endpoint that reads requests of any framing, and answers each."""
+    def script(peer: Peer) -> None:
+        while head := peer.hear():
+            if b"chunked" in head:
+                body = b""
+                while (size := int(peer.hear(b"\r\n") or b"0", 16)):
+                    body += peer.take(size + 2)[:-2]
+                peer.take(2)
+            else:
+                body = peer.take(int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0]))
+            seen.append((head, body))
+            peer.say(answer)
+    return script
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("size", [KEPT, KEPT + 1, KEPT * 3, len(LARGE)])
+def test_a_large_request_streams_to_one_hop(framing: str, size: int) -> None:
+    seen: list[tuple[bytes, bytes]] = []
+    play = Play([taking(seen, reply(b"hello"))])
+    heard: list[tuple[bytes, bytes]] = []
+
+    def script(peer: Peer) -> None:
+        for _ in range(2):  # the connection serves on
+            uploading(LARGE[:size], framing)(peer)
+            heard.append(whole(peer))
+
+    play.client(script)
+    play.run()
+    assert heard == [(b"200", b"hello")] * 2 and [body for _, body in seen] == [LARGE[:size]] * 2
+
+
+def test_time_runs_from_the_last_byte_of_a_request_that_is_long_in_coming() -> None:
+    seen: list[tuple[bytes, bytes]] = []
+    play = Play([taking(seen, reply(b"hello"))])
+    heard: list[tuple[bytes, bytes]] = []
+
+    def script(peer: Peer) -> None:
+        text = ask(Content_Length=str(len(LARGE)), Req_Deadline="300m") + LARGE
+        for at in range(0, len(text), 200_000):
+            peer.say(text[at:at + 200_000])
+            peer.sleep(100_000)
+        heard.append(whole(peer))
+
+    play.client(script)
+    play.run()
+    assert heard == [(b"200", b"hello")]
+
+
+@pytest.mark.parametrize("answer, status", [
+    (reply(status=503, more=AWAY), b"503"), (reply(status=500), b"503"), (reply(status=413), b"400")])
+def test_an_answer_before_the_request_is_whole_is_told_and_the_rest_is_read_off(
+        answer: bytes, status: bytes) -> None:
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        peer.take(KEPT + 1000)
+        peer.say(answer)
+
+    play = Play([endpoint])
+    heard: list[bytes] = []
+
+    def script(peer: Peer) -> None:
+        text = ask(Content_Length=str(len(LARGE) * 40)) + LARGE * 40
+        view = memoryview(text)
+        while view:
+            try:
+                view = view[peer.sock.send(view):]
+            except BlockingIOError:
+                peer.sleep(1000)
+            except OSError:
+                break
+        heard.append(peer.hear()[9:12])
+
+    play.client(script)
+    play.run()
+    assert heard == [status]
+
+
+def test_what_is_replayed_is_only_what_can_be_and_surely_never_ran() -> None:
+    seen: list[tuple[bytes, bytes]] = []
+
+    def away(peer: Peer) -> None:
+        while head := peer.hear():
+            peer.take(1000)
+            seen.append((head, b""))
+            peer.say(reply(status=503, more=AWAY))
+            peer.sock.close()
+            return
+
+    play = Play([away, taking(seen, reply(b"hello"))])
+    for _ in range(40):
+        play.reducer.sidecar.budget.take(play.loop.now())  # so that there is one for a retry
+    heard: list[tuple[bytes, bytes]] = []
+
+    def script(peer: Peer) -> None:
+        for _ in range(4):
+            other = Peer(peer.loop, socket.create_connection(play.at))
+            with other.sock:
+                text = ask("write", Content_Length=str(KEPT * 2)) + LARGE[:KEPT * 2]
+                other.say(text[:KEPT + 3000])
+                other.sleep(20_000)
+                other.say(text[KEPT + 3000:])
+                heard.append(whole(other))
+
+    play.client(script)
+    play.run()
+    assert {status for status, _ in heard} <= {b"200", b"503"}
+    assert all(body in (b"", LARGE[:KEPT * 2]) for _, body in seen)  # whole, or not at all
+
+
+def test_a_client_that_leaves_amid_a_large_request_ends_its_hop() -> None:
+    ends: list[bytes] = []
+
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        ends.append(peer.take(len(LARGE))[:0] + peer.hear(b"\0never\0"))
+
+    def script(peer: Peer) -> None:
+        peer.say(ask(Content_Length=str(len(LARGE))) + LARGE[:KEPT + 50_000])
+        peer.sleep(50_000)
+
+    play = Play([endpoint])
+    play.client(script)
+    play.run()
+    assert ends == [b""] and not play.reducer.tally.sends
+
+
+@pytest.mark.parametrize("tail, status", [(b"", b"408"), (b"xyz\r\n", b"400")])
+def test_a_large_request_that_halts_or_turns_to_junk_is_told(
+        tail: bytes, status: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "PACE_US", 100_000)
+    seen: list[tuple[bytes, bytes]] = []
+    play = Play([hung_up_on(taking(seen, reply(b"hello")))])
+    heard: list[bytes] = []
+
+    def script(peer: Peer) -> None:
+        peer.say(ask(Content_Length="", Transfer_Encoding="chunked") + chunk(LARGE[:KEPT * 2]) + tail)
+        heard.append(peer.hear()[9:12])
+
+    play.client(script)
+    play.run()
+    assert heard == [status] and not play.reducer.tally.sends
+    assert play.reducer.tally.final["read"]["errored"] == 1
+
+
+def test_an_endpoint_that_dies_amid_a_large_request_is_one_that_never_ran_it() -> None:
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        peer.take(KEPT + 100_000)
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.sock.close()
+
+    play = Play([endpoint])
+    heard: list[bytes] = []
+
+    def script(peer: Peer) -> None:
+        text = ask("write", Content_Length=str(len(LARGE) * 4)) + LARGE * 4
+        view = memoryview(text)
+        while view:
+            try:
+                view = view[peer.sock.send(view):]
+            except BlockingIOError:
+                peer.sleep(1000)
+            except OSError:
+                break
+        heard.append(peer.hear()[9:12])
+
+    play.client(script)
+    play.run()
+    assert heard == [b"503"]  # not abandoned: its last byte was never written
+
+
+def test_a_short_pool_slows_streams_and_ends_none() -> None:
+    play = Play([serving(sized(LARGE))])
+    play.net.pool.most = 12
+    done: list[tuple[bytes, bytes]] = []
+
+    def script(peer: Peer) -> None:
+        peer.say(ask())
+        done.append(whole(peer))
+
+    for _ in range(6):
+        play.client(copy.copy(script))
+    play.run()
+    assert all(body in (LARGE, b"") for _, body in done) and any(body == LARGE for _, body in done)
