A hop takes a place at its endpoint only while the endpoint is at work on it

Change: Tx.coming, and Sidecar.load counts from the last byte (Tx.run); an answer that is passed on has ended for the module at its first bytes. Ruled out: clients' places (no no_room), buffers (13 of 80 MB).

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -27,6 +27,7 @@
 IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT = "idempotent", "journalled", "non-idempotent"
 ALL, ZONE, CELL = "all", "zone", "cell"
 
+NEVER_US = 1 << 50  # from now on
 BUDGET_PARTS = 10  # one retry for so many transactions of the window, rounded down, with no floor
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
 LATE_SHARE = 0.8  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
@@ -195,10 +196,9 @@
     """Holds in every window that ends now: retries in it, this one included, over transactions in it."""
 
     def __init__(self, window_us: int = BUDGET_WINDOW_US) -> None:
-        self.window_us = window_us
+        self.window_us, self.ceded = window_us, False
         self.taken: deque[int] = deque()
         self.retried: deque[int] = deque()
-        self.ceded = False
 
     def take(self, now: int) -> None:
         self.taken.append(now)
@@ -227,8 +227,7 @@
     """The one place that says whether a transaction may take a further hop, or be rolled back."""
 
     def __init__(self, most_hops: int, parallel: bool) -> None:
-        self.most_hops = most_hops
-        self.parallel = parallel
+        self.most_hops, self.parallel = most_hops, parallel
 
     def may_hop(self, tx: Tx, now: int) -> bool:
         if tx.spent or len(tx.hops) >= self.most_hops or (tx.out and not self.parallel):
@@ -255,9 +254,7 @@
     here, times the share of capacity it has surely regained. Credit never runs ahead by more than one hop."""
 
     def __init__(self, cold_from: float, warm_within_us: int, now: int) -> None:
-        self.born_us = now
-        self.cold_from = cold_from
-        self.warm_within_us = warm_within_us
+        self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
         self.ceded = False  # to another process of this sidecar
 
@@ -322,9 +319,7 @@
     """When to ask for the list, where it does not come by itself."""
 
     def __init__(self, asked: bool, ask_every_us: int, chance: Chance) -> None:
-        self.every_us = ask_every_us
-        self.chance = chance
-        self.fails = 0
+        self.every_us, self.chance, self.fails = ask_every_us, chance, 0
         self.due_us = chance.below(ask_every_us // 8 + 1) if asked else -1  # from birth; -1: nothing to ask
 
     def born(self, now: int) -> None:
@@ -352,13 +347,15 @@
 class Tx:
     """The handle of one transaction."""
 
-    __slots__ = ("anchor", "anchor_us", "closed", "end_us", "hops", "leave_us", "luck", "member", "out",
-                 "part", "profile", "side", "spent", "surplus")
+    __slots__ = ("anchor", "anchor_us", "closed", "coming", "end_us", "hops", "leave_us", "luck", "member",
+                 "out", "part", "profile", "side", "spent", "surplus")
 
     def __init__(self, side: Sidecar, profile: Profile, member: int, now: int, remaining_us: int) -> None:
         self.side, self.member, self.profile = side, member, profile
         self.end_us, self.closed, self.spent = 0, False, False  # spent: what would be sent again is gone
-        self.run(now, remaining_us)
+        self.out: dict[int, int] = {}  # hop number -> sent
+        self.coming = remaining_us < 0  # its client still sends it, and no endpoint is at work on it
+        self.run(now, NEVER_US if self.coming else remaining_us)
         self.anchor: Endpoint | None = None  # of the first hop that may have run
         # Guards against endpoints at work on what no longer earns, where it may be rolled back in good time.
         if side.beside and not profile.overdue and side.repeat_rule.may_roll_back(self, ran=True):
@@ -370,14 +367,17 @@
         self.part = OPEN_PART + (1 - OPEN_PART) * earns if side.at_door else 1.0  # of limits, open to it
         self.luck = side.chance.part()
         self.hops: list[Endpoint] = []
-        self.out: dict[int, int] = {}  # hop number -> sent
         self.anchor_us: int = 0
 
     def route(self, now: int) -> list[Decision]:
         return self.side.route(self, now)
 
     def run(self, now: int, remaining_us: int) -> None:
-        """Its time, which stands still while the client still sends it, runs from here."""
+        """Its time, which stands still while the client still sends it, runs from here; so do its hops."""
+        if self.coming and remaining_us < NEVER_US:
+            self.coming = False
+            for n in self.out:
+                self.side.load(self.hops[n], 1)
         self.end_us = now + remaining_us - min(remaining_us // 64, self.side.round_us * 2)
 
     def under_way(self, hop: int) -> list[Decision]:
@@ -412,8 +412,7 @@
         self.round_us, self.come_back_us, self.may_cancel = round_us, come_back_us, may_cancel
         self.asking, self.repeat_rule, self.cold_rule, self.shares = asking, repeat_rule, cold_rule, shares
         self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
-        self.budget = RetryBudget()
-        self.surge = 1.0
+        self.budget, self.surge = RetryBudget(), 1.0
         self.line: list[Tx] = []  # best earners first
         self.line_due_us = now  # the first leaves it then, if not before
         self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
@@ -548,8 +547,7 @@
         e = tx.hops[hop]
         if tx.out.pop(hop, None) is None:
             return []
-        e.in_flight -= 1
-        self.groups[e.zone].shift(e, 0.0, -1)
+        self.load(e, -int(not tx.coming))
         told = self.due_us.pop((tx, hop), None) is None and self.beside  # that it was overdue
         self._judge(e, tx, now, how, latency_us, told)
         decided: list[Decision] = []
@@ -563,6 +561,10 @@
             decided += self._after(tx, e, now, how)
         return decided + self._serve_line(now) if self.line else decided
 
+    def load(self, e: Endpoint, by: int) -> None:
+        e.in_flight += by
+        self.groups[e.zone].shift(e, 0.0, by)
+
     def _after(self, tx: Tx, e: Endpoint, now: int, how: Outcome) -> list[Decision]:
         """The last hop out has failed: a claimed error is retried elsewhere, all else is answered at once."""
         if self._claimed(e, now, how) and now < tx.end_us and self.repeat_rule.may_hop(tx, now):
@@ -592,8 +594,7 @@
             e.cold_credit -= 1
         if not tx.hops:
             self.shares.sent(tx.member, tx.surplus)
-        e.in_flight += 1
-        self.groups[e.zone].shift(e, 0.0, 1)
+        self.load(e, int(not tx.coming))
         self.groups[e.zone].hops += 1
         if self.beside:
             self.due_us[tx, len(tx.hops)] = now + int(OVERDUE * tx.profile.service_goal_us)
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -37,7 +37,6 @@
 SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
 HEIR_IDLE_US = 8_000_000  # so long a client may ask once more of a process that has handed over
 DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
-NEVER_US = 1 << 50  # from now on: the time of what still comes does not run
 HEALTH = b"/_health"
 
 
@@ -58,7 +57,7 @@
     sent: int = 0
     rejected: bool = False
     limit_us: int = 0  # the time it has once the client has sent it whole
-    streams: bool = False  # its answer is being passed on
+    passed: int = 0  # the hop whose answer is being passed on; the module has done with it
 
 
 @dataclass(slots=True)
@@ -68,7 +67,6 @@
     endpoint: int
     link: int
     sent_us: int
-    took_us: int = -1  # to the first bytes of an answer that is passed on as it comes
 
 
 @dataclass(slots=True)
@@ -231,7 +229,7 @@
             # Guards against a repeat that nothing marks as one.
             profile = replace(profile, kind=NON_IDEMPOTENT)
         member = self.members.get(request.get(b"req-owner") or "", -1)
-        left_us = NEVER_US if request.streams else max(0, limit_us - (now - arrived_us))
+        left_us = -1 if request.streams else max(0, limit_us - (now - arrived_us))
         tx = self.sidecar.take(now, profile, member, left_us)
         held.tx = tx
         self.txs[tx] = Held(client, request, limit_us=limit_us)
@@ -288,9 +286,11 @@
         self.idle_clients.pop(client, None)
         self.fresh_clients.pop(client, None)
         out: list[Effect] = []
-        if held.tx is not None and not held.tx.closed:
+        if held.tx is not None:
             self._shut_id(held.tx)
             out = self._decided(now, held.tx.vanished())
+            if (hop := self.txs[held.tx].passed) and self.sidecar.may_cancel:
+                out.append(do.CallOff(self.hops[hop].link, hop))
             out += self._release(held.tx)
         return self._out(now, out)
 
@@ -319,13 +319,15 @@
         tx = held.tx
         if tx.closed:
             return [do.CallOff(held.link, hop)]
-        held.took_us = now - held.sent_us
         of = self.txs[tx]
-        of.streams = True
+        of.passed = hop
         client = self.clients[of.client]
         if answer.length is None and not of.request.modern:
             client.keep = False  # its end is told by the end of the connection alone
-        return self._out(now, [*self._decided(now, tx.under_way(held.number)),
+        # To the module it has ended: the endpoint's work is done. Guards against places that slow readers
+        # hold while endpoints have nothing to do.
+        decided = tx.ended(held.number, now, Outcome.COMMITTED, now - held.sent_us, True)
+        return self._out(now, [*self._decided(now, decided),
                                do.Write(of.client, answer, self._last(client), of.request.modern)])
 
     def hop_ended(self, now: int, hop: int, how: Outcome, keep: bool, body: Chain | None = None,
@@ -338,13 +340,11 @@
         if keep:
             out += self._rest(ended.link)
         complete = how is Outcome.COMMITTED and not tx.closed
-        took_us = now - ended.sent_us
         tx.spent = tx.spent or held.request.spent
-        if ended.took_us >= 0:  # passed on as it came, to its end or not: there is no other answer
-            took_us = ended.took_us
-            if not tx.closed:
-                self._finish(tx, 200 if complete else 502)
-                complete = True
+        if held.passed == hop:  # to its end or not: there is no other answer
+            held.passed = 0
+            if self.open_ids.get(held.request.get(b"req-id") or "") == held.client:
+                self._finish(tx, 200 if how is Outcome.COMMITTED else 502)
         if complete and body is not None:
             out += self._answer(tx, Answer(200, body, kind))
         elif body is not None:
@@ -354,7 +354,7 @@
                                        "endpoint": self.roster.addresses[ended.endpoint].name,
                                        "us": now - ended.sent_us}))
         held.rejected = how is Outcome.REJECTED
-        out += self._decided(now, tx.ended(ended.number, now, how, took_us, complete))
+        out += self._decided(now, tx.ended(ended.number, now, how, now - ended.sent_us, complete))
         self._forget(ended.endpoint)
         return self._out(now, [*out, *self._release(tx)])
 
@@ -605,7 +605,7 @@
 
     def _release(self, tx: Tx) -> list[Effect]:
         """Forgets a transaction that has its answer and no hop out, and gives its request's body back."""
-        if tx not in self.txs or not tx.closed or tx.out:
+        if tx not in self.txs or not tx.closed or tx.out or self.txs[tx].passed:
             return []
         return [do.GiveBack(self.txs.pop(tx).request.body)]
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -422,3 +422,23 @@
         play.client(copy.copy(script))
     play.run()
     assert all(body in (LARGE, b"") for _, body in done) and any(body == LARGE for _, body in done)
+
+
+def test_what_still_comes_or_is_passed_on_takes_no_place_at_an_endpoint() -> None:
+    """Slow uploads and readers would fill the limits of endpoints that have nothing to do."""
+    from cressrail.brain import IDEMPOTENT, Outcome
+    from tests.helpers import SECOND, entry, profile, sidecar
+
+    side = sidecar([entry(0)])
+    tx = side.take(0, profile(IDEMPOTENT), -1, -1)
+    [(_, what, which, us)] = tx.route(0)
+    e = side.endpoints[which]
+    assert what == "hop" and us > 1000 * SECOND and (e.in_flight, side.groups[0].in_flight) == (0, 0)
+    tx.run(9 * SECOND, SECOND)
+    assert (e.in_flight, side.groups[0].in_flight) == (1, 1) and tx.end_us <= 10 * SECOND
+    tx.ended(0, 9 * SECOND + 1000, Outcome.COMMITTED, 1000, True)
+    assert (e.in_flight, side.groups[0].in_flight) == (0, 0)
+    again = side.take(0, profile(), -1, -1)
+    again.route(0)
+    again.ended(0, 1000, Outcome.UNREACHED, 1000, False)
+    assert (e.in_flight, side.groups[0].in_flight) == (0, 0)
