Slow clients who make progress keep their places; those who halt longest go first

Change: each piece of a request counts as progress (request_goes_on); the client's task looks at its last piece, not its first; endpoints get three eighths of the descriptors in place of a half, as a link carries one hop after another (30 of 77 in use at most).

--- a/cressrail/sockets/client.py
+++ b/cressrail/sockets/client.py
@@ -32,7 +32,7 @@
         self.body: Kept | None = None  # of a request that is not whole yet
         self.upload: RequestReader | None = None  # of one that goes on before it is whole, and where to
         self.rest: Pipe | None = None
-        self.since_us = net.now()  # its first request is due from here; -1 after that: from its own begin
+        self.fresh = True  # no request of it has come yet
         self.junk = False  # what it sent is not read to its end
 
     def run(self) -> None:
@@ -129,14 +129,14 @@
 
     def _read(self) -> bool:
         """Until a request is whole, or what came is none; false if the connection is over."""
-        stream, reader, until_us, since_us, looked = self.stream, None, NEVER, self.since_us, False
-        step = 0  # of the request's bytes, at the last of which it was told to make progress; 0: no head yet
+        stream, reader, until_us, looked = self.stream, None, NEVER, False
+        step = 0  # of the request's bytes, at the last of which its time began anew; 0: no head yet
+        moved_us = 0  # something came of it last
         while True:
             if stream.inlet.unread():
                 try:
                     if reader is None:
                         now = self.net.now()
-                        since_us = since_us if since_us >= 0 else now
                         self.net.tell(self.net.reducer.request_began(now, self.number))
                         until_us = now + self.net.patience_us
                         self.body = Kept(self.net.pool)
@@ -149,20 +149,21 @@
                 if reader.begun is not None and reader.begun.streams:
                     return self._begin(reader, reader.begun)
                 if reader.whole is not None:
-                    self.body, self.since_us = None, -1  # the body is the reducer's from here on
+                    self.body, self.fresh = None, False  # the body is the reducer's from here on
                     self.net.tell(self.net.reducer.request_came(
                         self.net.now(), self.number, reader.whole, stream.arrived_us))
                     return True
+                moved_us = self.net.now()
+                self.net.tell(self.net.reducer.request_goes_on(moved_us, self.number))
                 if reader.begun is not None and self.body is not None and self.body.size // STEP + 1 > step:
                     step = self.body.size // STEP + 1
-                    until_us = self.net.now() + self.net.patience_us
-                    self.net.tell(self.net.reducer.request_goes_on(self.net.now(), self.number))
+                    until_us = moved_us + self.net.patience_us
                 if reader.wants_go_on:
                     reader.wants_go_on = False
                     stream.send([memoryview(GO_ON)], until_us)
             try:
                 # After an answer the next request is a round trip away at least: a look would find nothing.
-                n = -1 if reader is None and self.since_us < 0 and not looked else stream.read()
+                n = -1 if reader is None and not self.fresh and not looked else stream.read()
                 looked = True
                 if n == 0:
                     return False
@@ -178,14 +179,16 @@
                 assert isinstance(task.mail.popleft(), Shut)
                 if reader is None and stream.read() <= 0:
                     return False  # between requests; what has come meanwhile is still answered
-                if reader is not None and self.net.now() - since_us >= FRESH_US:
+                if reader is not None and self.net.now() - moved_us >= FRESH_US:
                     return self._junk(408, "request long in coming")
+                if reader is not None:  # it goes on, and may be asked for its place another time
+                    self.net.tell(self.net.reducer.request_began(self.net.now(), self.number))
 
     def _begin(self, reader: RequestReader, request: Request) -> bool:
         """One too large to keep goes on before it is whole, or with what came last of it."""
         assert self.body is not None
         self.upload, self.rest = reader, self.body.rest
-        self.body, self.since_us = None, -1
+        self.body, self.fresh = None, False
         self.net.tell(self.net.reducer.request_came(self.net.now(), self.number, request, self.net.now()))
         if reader.whole is not None:
             self._uploaded()
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -26,6 +26,7 @@
 from cressrail.traffic.roster import Roster
 
 SPARE = 16  # descriptors for all that is neither client nor endpoint, and for those on their way out
+LINKS_SHARE = 3 / 8  # of the descriptors; a link carries one hop after another, clients come in crowds
 BUFFERS_SHARE = 0.5  # of the memory limit
 YOUNG = 5_000  # objects between two collections
 
@@ -35,7 +36,8 @@
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     both = max(16, min(sockets, soft if soft > 0 else sockets) - SPARE - aside)
     surplus = max(4, both // 16)
-    return Room(clients=both // 2 - surplus, surplus=surplus, links=both // 2)
+    links = int(both * LINKS_SHARE)
+    return Room(clients=both - links - surplus, surplus=surplus, links=links)
 
 
 def assemble(start: Start, log_fd: int = 1) -> tuple[Net, listener.ListenerTask]:
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -33,7 +33,7 @@
 STOP_SPARE_US = 200_000  # before that all is to have its answer
 AGAIN_US = 50_000  # the first pause before the watch is asked for again; doubles
 AGAIN_DOUBLINGS = 4
-FRESH_US = 1_000_000  # a client may take so long to begin, or to end, a request before it may be closed
+FRESH_US = 1_000_000  # a client may send nothing of a request for so long before it may be closed
 SILENT_US = 2_500_000  # before it is, also where there is room; services send at once on a new connection
 HEIR_IDLE_US = 8_000_000  # so long a client may ask once more of a process that has handed over
 DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
@@ -195,8 +195,8 @@
         return self._out(now, [])
 
     def request_goes_on(self, now: int, client: int) -> list[Effect]:
-        """Its head is whole, or a good part more of its body. Guards against slow clients who make good
-        progress being taken for those who halt."""
+        """More of it has come. Guards against slow clients who make progress being taken for those who halt,
+        who are closed first where places are short."""
         if self.fresh_clients.pop(client, None) is not None:
             self.fresh_clients[client] = now
         return self._out(now, [])
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -380,6 +380,25 @@
     assert heard == [b"408" if sent else b""]
 
 
+def test_one_that_sends_slowly_but_steadily_is_not_taken_for_one_that_halts(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(reducer, "SILENT_US", 100_000)
+    monkeypatch.setattr(client, "FRESH_US", 100_000)
+    heard: list[bytes] = []
+
+    def slow(peer: Peer) -> None:
+        text = ask()
+        for at in range(0, len(text), 8):
+            peer.say(text[at:at + 8])
+            peer.sleep(10_000)
+        heard.append(peer.hear()[9:12])
+
+    play = Play([serving(reply())])
+    play.client(slow)
+    play.run()
+    assert heard == [b"200"]
+
+
 def test_no_descriptor_left_pauses_the_listener_and_no_more() -> None:
     play = Play([serving(reply())])
     real, fails = play.door.sock, [errno.EMFILE, errno.EMFILE]
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -16,7 +16,7 @@
 from cressrail.outfit.start import read_config
 from cressrail.traffic import effects as do
 from cressrail.traffic.effects import Effect
-from cressrail.traffic.reducer import SILENT_US, Reducer, Room
+from cressrail.traffic.reducer import FRESH_US, SILENT_US, Reducer, Room
 from cressrail.traffic.roster import Roster
 from tests.helpers import CONFIG, SECOND, member
 
@@ -345,6 +345,18 @@
     assert len(front.all(do.Carry)) == 1
 
 
+def test_the_one_that_halted_longest_goes_first_not_the_one_that_began_first() -> None:
+    front = Front(clients=2)
+    for client in (1, 2):
+        front.came(client)
+        front.reducer.request_began(0, client)
+    front.reducer.request_goes_on(SECOND, 1)  # slow, and good
+    front.came(3, now=FRESH_US)
+    assert front.all(do.Shut) == [do.Shut(2, True)]
+    front.came(4, now=FRESH_US + 1)
+    assert not front.all(do.Shut)
+
+
 @pytest.mark.parametrize("began_us", [None, 0, SECOND])
 def test_one_that_says_nothing_or_half_a_request_is_closed_also_where_there_is_room(
         began_us: int | None) -> None:
