--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 # build, try, test, bench, run. `make run CONFIG=...` starts a sidecar with another configuration.
 CONFIG ?= example/config.json
 AGAINST ?= HEAD
+KIT ?=
 PY = .venv/bin/python
 
-.PHONY: build lab dev try test lint bench run check toy
+.PHONY: build lab dev try test lint bench regress run check toy
 
 build:
 	sh deploy/build.sh
@@ -26,6 +27,9 @@
 bench: lab
 	$(PY) -m cressrail experiment cost --against $(AGAINST)
 
+regress: build
+	$(PY) tools/regress.py $(KIT) $(if $(FULL),--full)
+
 run: build
 	exec $(PY) -m cressrail serve $(CONFIG)
 
--- a/cressrail/handover/estate.py
+++ b/cressrail/handover/estate.py
@@ -12,9 +12,8 @@
 from typing import Any
 
 from cressrail.brain import Sidecar
-from cressrail.catalog.news import PHASES
+from cressrail.catalog.news import PHASES, Row
 from cressrail.handover.frame import Foreign
-from cressrail.traffic.roster import Roster
 
 # Of an endpoint and of the whole, by the module's own names.
 NUMBERS = ("limit", "latency", "good", "cold_credit")
@@ -24,20 +23,20 @@
 WORDS = {phase: word for word, phase in PHASES.items()}
 
 
-def listed(roster: Roster, revision: int) -> dict[str, Any]:
+def listed(rows: Iterable[Row], revision: int) -> dict[str, Any]:
     """The list in discovery's own form, so that it is read and checked as hers is."""
     return {"revision": revision, "complete": True, "members": [
         {"id": row.name, "host_port": f"{f'[{row.host}]' if ':' in row.host else row.host}:{row.port}",
          "locality": row.zone, "cell": row.cell, "phase": WORDS[row.on, False], "size": row.scale,
          "up_since_ms": row.started_us // 1000}
-        for row in (at.row for at in roster.addresses.values()) if not row.gone]}
+        for row in rows if not row.gone]}
 
 
-def gather(sidecar: Sidecar, roster: Roster) -> dict[str, Any]:
+def gather(sidecar: Sidecar, names: dict[int, str]) -> dict[str, Any]:
     endpoints = []
-    for ix, at in roster.addresses.items():
+    for ix, name in names.items():
         e = sidecar.endpoints[ix]
-        endpoints.append([at.name, e.started_us, *(getattr(e, name) for name in (*NUMBERS, *TIMES))])
+        endpoints.append([name, e.started_us, *(getattr(e, what) for what in (*NUMBERS, *TIMES))])
     cold, shares = sidecar.cold_rule, sidecar.shares
     return {
         "endpoints": endpoints,
@@ -49,7 +48,7 @@
         "groups": [[group.admits, group.hops, group.hops_per_s] for group in sidecar.groups]}
 
 
-def settle(estate: dict[str, Any], sidecar: Sidecar, roster: Roster, now: int) -> None:
+def settle(estate: dict[str, Any], sidecar: Sidecar, names: dict[int, str], now: int) -> None:
     """Raises `Foreign`, and has changed nothing then."""
     try:
         told = {str(name): (_time(started), [_number(v) for v in rest[:len(NUMBERS)]],
@@ -66,9 +65,9 @@
         groups = [(_number(admits), _time(hops), _number(rate)) for admits, hops, rate in estate["groups"]]
     except (KeyError, TypeError, ValueError) as fault:
         raise Foreign(f"{type(fault).__name__}: {fault}") from None
-    for ix, at in roster.addresses.items():
+    for ix, called in names.items():
         e = sidecar.endpoints[ix]
-        started_us, values, moments = told.get(at.name, (-1, [], []))
+        started_us, values, moments = told.get(called, (-1, [], []))
         if started_us == e.started_us:
             for name, value in zip((*NUMBERS, *TIMES), (*values, *moments), strict=True):
                 setattr(e, name, value)
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -421,7 +421,7 @@
     # Two processes
 
     def listed(self) -> dict[str, Any]:
-        return estate.listed(self.roster, self.revision)
+        return estate.listed((at.row for at in self.roster.addresses.values()), self.revision)
 
     def take_over(self, now: int, told: dict[str, Any] | None, clients: int, links: int) -> list[Effect]:
         """The elder process has stopped taking clients, and left this; nothing if it has gone or does not
@@ -430,7 +430,7 @@
         self.elder = False
         try:
             if told is not None:
-                estate.settle(told, self.sidecar, self.roster, now)
+                estate.settle(told, self.sidecar, self.roster.names(), now)
                 self.foreign_ids = {str(name): now + self.longest_us for name in told.get("open", [])}
                 if told.get("drained") is True:
                     self.drain_us = now
@@ -450,7 +450,7 @@
     def hand_over(self, now: int) -> tuple[dict[str, Any], list[Effect]]:
         """Another process serves from here on. No idle client is closed for it: each answer is the last on
         its connection, so no close crosses a request, and those who ask again go there."""
-        told = {**estate.gather(self.sidecar, self.roster), "open": list(self.open_ids),
+        told = {**estate.gather(self.sidecar, self.roster.names()), "open": list(self.open_ids),
                 "drained": self.drain_us >= 0}
         self.sidecar.cede(True)
         self.heir_us = now
--- a/cressrail/traffic/roster.py
+++ b/cressrail/traffic/roster.py
@@ -60,5 +60,8 @@
                     left.append(ix)
         return entries, stale, left
 
+    def names(self) -> dict[int, str]:
+        return {ix: at.name for ix, at in self.addresses.items()}
+
     def forget(self, ix: int) -> None:
         del self.indices[self.addresses.pop(ix).name]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -93,7 +93,7 @@
     found = told(old)
     spoil(found)
     with pytest.raises(Foreign):
-        estate.settle(found, new.reducer.sidecar, new.reducer.roster, SECOND)
+        estate.settle(found, new.reducer.sidecar, new.reducer.roster.names(), SECOND)
     new.told = new.reducer.take_over(SECOND, found, 0, 0)
     assert not new.reducer.sidecar.budget.taken and new.reducer.sidecar.endpoints[0].limit != 1.25
     assert new.all(do.Listen) == [do.Listen(True)]  # and yet it serves
--- /dev/null
+++ b/tests/test_regress.py
@@ -0,0 +1,57 @@
+"""The regression over all days, with a kit whose benches are a line of shell each."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TOOL = Path("tools/regress.py")
+
+
+def kit(tmp: Path, score: str, says: str = "", code: int = 0) -> Path:
+    """A kit and a tool with one day whose bench leaves this score in the journal."""
+    (tmp / "tools").mkdir()
+    (tmp / "journal").mkdir()
+    (tmp / "tools" / "regress.py").write_text(TOOL.read_text())
+    (tmp / "tools" / "regress.toml").write_text(
+        'margin = 0.03\n[[day]]\nname = "one"\nbench = "bench"\nsite = "s.toml"\nquick = 0.5\nfull = 0.9\n')
+    made = tmp / "kit"
+    made.mkdir()
+    (made / "s.toml").write_text("")
+    entry = f'{{"site": "s", "score": {score}}}'
+    (made / "bench").write_text(
+        f"#!/bin/sh\necho '{says}'\necho '{entry}' > journal/n.json\nexit {code}\n")
+    os.chmod(made / "bench", 0o755)
+    return made
+
+
+def regress(tmp: Path, *words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "tools/regress.py", *words], cwd=tmp, capture_output=True,
+                          text=True, check=False, timeout=60)
+
+
+@pytest.mark.parametrize("score, says, ends, words, code, shown", [
+    ("0.48", "", 0, [], 0, "one 0.500 0.480"), ("0.46", "", 0, [], 1, "one 0.500 0.460 fell"),
+    ("0.9", "BROKEN: lost", 0, [], 1, "one 0.500 0.900 rule broken"),
+    ("0.9", "", 3, [], 1, "one 0.500 - no figure"), ("null", "", 0, [], 1, "one 0.500 - no figure"),
+    ("0.8", "", 0, ["--full"], 1, "one 0.900 0.800 fell")])
+def test_a_broken_rule_a_fallen_figure_and_none_are_told(
+        tmp_path: Path, score: str, says: str, ends: int, words: list[str], code: int, shown: str) -> None:
+    made = kit(tmp_path, score, says, ends)
+    ended = regress(tmp_path, str(made), *words)
+    assert ended.returncode == code, ended.stderr
+    assert shown in [" ".join(line.split()) for line in ended.stdout.splitlines()]
+
+
+def test_without_a_kit_it_is_one_line(tmp_path: Path) -> None:
+    made = kit(tmp_path, "1")
+    for words in ([], [str(tmp_path / "none")]):
+        ended = regress(tmp_path, *words)
+        assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "no kit there" in ended.stderr
+    (made / "bench").unlink()
+    ended = regress(tmp_path, str(made))
+    assert ended.returncode == 2 and ended.stderr == f"regress: {made / 'bench'}: not in the kit\n"
--- /dev/null
+++ b/tools/regress.py
@@ -0,0 +1,103 @@
+"""make regress KIT=...: all days of the users' benches in turn, never two at once, beside recorded figures.
+
+Exits 1 where a rule broke, a run failed or a figure fell by more than the margin; 2, with one line, where the
+kit is missing or the figures can't be read. The benches leave their own entries in journal/; figures are read
+there.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+FIGURES = Path(__file__).with_name("regress.toml")
+JOURNAL = Path("journal")
+
+
+class Unusable(Exception):
+    """One line that names the path."""
+
+
+@dataclass
+class Played:
+    name: str
+    recorded: float | None
+    found: float | None
+    broken: bool
+
+    def fell(self, margin: float) -> bool:
+        if self.found is None or self.broken:
+            return True
+        return self.recorded is not None and self.found < self.recorded - margin
+
+    def row(self, margin: float) -> str:
+        said = "rule broken" if self.broken else "no figure" if self.found is None else (
+            "fell" if self.fell(margin) else "")
+        return f"{self.name:38} {_shown(self.recorded):>8} {_shown(self.found):>8}  {said}".rstrip()
+
+
+def _shown(figure: float | None) -> str:
+    return "-" if figure is None else f"{figure:.3f}"
+
+
+def figures(path: Path) -> dict[str, Any]:
+    try:
+        told = tomllib.loads(path.read_text())
+    except OSError as fault:
+        raise Unusable(f"{path}: {fault.strerror}") from None
+    except tomllib.TOMLDecodeError as fault:
+        raise Unusable(f"{path}: {fault}") from None
+    for n, day in enumerate(told.get("day", [])):
+        for key in ("name", "bench", "site"):
+            if not isinstance(day.get(key), str):
+                raise Unusable(f"{path}: day.{n}.{key} is missing")
+    if not isinstance(told.get("margin"), float) or not told.get("day"):
+        raise Unusable(f"{path}: margin or day is missing")
+    return told
+
+
+def play(kit: Path, day: dict[str, Any], size: str) -> Played:
+    before = {entry.name for entry in JOURNAL.glob("*.json")}
+    words = [str(kit / day["bench"]), "score", str(kit / day["site"]), *day.get("arguments", []),
+             *(["--quick"] if size == "quick" else []),
+             "--why", f"A regression over all days: {day['name']}, {size}."]
+    ended = subprocess.run(words, capture_output=True, text=True, check=False)
+    print(ended.stdout, ended.stderr, sep="", end="", flush=True)
+    site = Path(day["site"]).stem
+    new = [path for path in sorted(JOURNAL.glob("*.json")) if path.name not in before]
+    entries = [json.loads(path.read_text()) for path in new]
+    scores = [entry["score"] for entry in entries
+              if isinstance(entry.get("score"), int | float) and Path(str(entry.get("site"))).stem == site]
+    broken = "BROKEN" in ended.stdout or any(
+        (entry.get("figures") or {}).get("rule_days_broken") for entry in entries)
+    return Played(day["name"], day.get(size), float(scores[-1]) if scores and not ended.returncode else None,
+                  broken)
+
+
+def main(words: list[str]) -> int:
+    kit, size = Path(words[0] if words else ""), "full" if "--full" in words else "quick"
+    try:
+        if not words or not kit.is_dir():
+            raise Unusable(f"KIT={kit}: no kit there")
+        told = figures(FIGURES)
+        for day in told["day"]:
+            for part in (day["bench"], day["site"]):
+                if not (kit / part).is_file():
+                    raise Unusable(f"{kit / part}: not in the kit")
+    except Unusable as fault:
+        print(f"regress: {fault}", file=sys.stderr)
+        return 2
+    played = [play(kit, day, size) for day in told["day"]]
+    print(f"\n{size + ', simulated servers':38} {'recorded':>8} {'now':>8}")
+    for one in played:
+        print(one.row(told["margin"]))
+    return int(any(one.fell(told["margin"]) for one in played))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
