--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -36,6 +36,7 @@
 
 @pytest.mark.parametrize("score, says, ends, words, code, shown", [
     ("0.48", "", 0, [], 0, "one 0.500 0.480"), ("0.46", "", 0, [], 1, "one 0.500 0.460 fell"),
+    ('null, "figures": {"real_score": 0.49}', "", 0, [], 0, "one 0.500 0.490"),
     ("0.9", "BROKEN: lost", 0, [], 1, "one 0.500 0.900 rule broken"),
     ("0.9", "", 3, [], 1, "one 0.500 - no figure"), ("null", "", 0, [], 1, "one 0.500 - no figure"),
     ("0.8", "", 0, ["--full"], 1, "one 0.900 0.800 fell")])
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -71,8 +71,10 @@
     site = Path(day["site"]).stem
     new = [path for path in sorted(JOURNAL.glob("*.json")) if path.name not in before]
     entries = [json.loads(path.read_text()) for path in new]
-    scores = [entry["score"] for entry in entries
-              if isinstance(entry.get("score"), int | float) and Path(str(entry.get("site"))).stem == site]
+    # The simulator's entries name it score, those of real sidecars real_score, among other figures.
+    scores = [score for entry in entries if Path(str(entry.get("site"))).stem == site
+              for score in (entry.get("score"), (entry.get("figures") or {}).get("real_score"))
+              if isinstance(score, int | float)]
     broken = "BROKEN" in ended.stdout or any(
         (entry.get("figures") or {}).get("rule_days_broken") for entry in entries)
     return Played(day["name"], day.get(size), float(scores[-1]) if scores and not ended.returncode else None,
