A large request may lag four seconds behind its pace before it is called too slow

Change: what comes earns time at 48 kB a second, up to 4 s ahead. Ruled out: a full pipe (time stands still there), a halting client (all had just sent).

--- a/cressrail/sockets/client.py
+++ b/cressrail/sockets/client.py
@@ -20,7 +20,8 @@
 LINGER_US = 500_000
 UPLOAD_LINGER_US = 2_000_000  # the rest of a request that is answered before it is whole
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
-PACE_US, PACE_BYTES = 2_500_000, 96 << 10  # good clients send 64 kB a second; those far below are ended
+PACE_US = 4_000_000  # a large request may halt for so long, if it made good what it was behind before
+PACE_BYTES_PER_S = 48_000  # good clients send 64 kB a second; one that stays below this is ended in time
 STEP = 16 << 10  # bytes of a body that is kept, by which it makes good progress
 
 
@@ -32,6 +33,7 @@
         self.body: Kept | None = None  # of a request that is not whole yet
         self.upload: RequestReader | None = None  # of one that goes on before it is whole, and where to
         self.rest: Pipe | None = None
+        self.due_us = 0  # more of it is to have come by then
         self.fresh = True  # no request of it has come yet
         self.junk = False  # what it sent is not read to its end
 
@@ -84,24 +86,23 @@
         false if the client leaves amid it."""
         stream, reader, rest, now = self.stream, self.upload, self.rest, self.net.now
         assert reader is not None and rest is not None
-        until_us, seen = now() + PACE_US, 0
         while not mail:
             if not rest.roomy():
+                since_us = now()
                 if not self._room(rest):
                     return False
-                until_us, seen = now() + PACE_US, 0  # it was not the client who halted
+                self.due_us += now() - since_us  # it was not the client who halted
                 continue
             try:
                 n = stream.read()
                 if n == 0:
                     return False
                 if n < 0:
-                    if self.net.loop.wait(stream.fd, READ, until_us) == TIMED_OUT:
+                    if self.net.loop.wait(stream.fd, READ, self.due_us) == TIMED_OUT:
                         raise Malformed(408, "request too slow")
                     continue
-                seen += n
-                if seen >= PACE_BYTES:
-                    until_us, seen = now() + PACE_US, 0
+                # Guards against good clients with a lull taken for slow ones.
+                self.due_us = min(self.due_us + n * 1_000_000 // PACE_BYTES_PER_S, now() + PACE_US)
                 stream.inlet.use(reader.feed(stream.inlet.unread()))
             except Exhausted:
                 self.net.loop.wait(until_us=now() + SHORT_US)
@@ -187,7 +188,7 @@
     def _begin(self, reader: RequestReader, request: Request) -> bool:
         """One too large to keep goes on before it is whole, or with what came last of it."""
         assert self.body is not None
-        self.upload, self.rest = reader, self.body.rest
+        self.upload, self.rest, self.due_us = reader, self.body.rest, self.net.now() + PACE_US
         self.body, self.fresh = None, False
         self.net.tell(self.net.reducer.request_came(self.net.now(), self.number, request, self.net.now()))
         if reader.whole is not None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -442,3 +442,28 @@
     again.route(0)
     again.ended(0, 1000, Outcome.UNREACHED, 1000, False)
     assert (e.in_flight, side.groups[0].in_flight) == (0, 0)
+
+
+def test_a_lull_is_made_good_by_a_faster_pace_before_and_a_slow_request_ends(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "PACE_US", 400_000)
+    monkeypatch.setattr(client, "PACE_BYTES_PER_S", 100_000)
+    seen: list[tuple[bytes, bytes]] = []
+    play = Play([hung_up_on(taking(seen, reply(b"hello")))])
+    heard: dict[int, bytes] = {}
+
+    def sending(step: int, pause_us: int) -> Script:
+        def script(peer: Peer) -> None:
+            text = ask(Content_Length=str(KEPT * 2)) + LARGE[:KEPT * 2]
+            peer.say(text[:KEPT + 5000])
+            for at in range(KEPT + 5000, len(text), step):
+                peer.sleep(pause_us)
+                with suppress(OSError):
+                    peer.say(text[at:at + step])
+            heard[step] = peer.hear()[9:12]
+        return script
+
+    play.client(sending(30_000, 250_000))  # 120 kB a second, and silent for most of its grace
+    play.client(sending(2_000, 50_000))  # never silent for long, and 40 kB a second
+    play.run()
+    assert heard == {30_000: b"200", 2_000: b"408"}
