--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -286,6 +286,18 @@
     assert heard == [(b"200", b"hello")]
 
 
+def pour(peer: Peer, text: bytes) -> None:
+    """As much as the other side takes before it closes."""
+    view = memoryview(text)
+    while view:
+        try:
+            view = view[peer.sock.send(view):]
+        except BlockingIOError:
+            peer.sleep(1000)
+        except OSError:
+            break
+
+
 @pytest.mark.parametrize("answer, status", [
     (reply(status=503, more=AWAY), b"503"), (reply(status=500), b"503"), (reply(status=413), b"400")])
 def test_an_answer_before_the_request_is_whole_is_told_and_the_rest_is_read_off(
@@ -300,14 +312,7 @@
 
     def script(peer: Peer) -> None:
         text = ask(Content_Length=str(len(LARGE) * 40)) + LARGE * 40
-        view = memoryview(text)
-        while view:
-            try:
-                view = view[peer.sock.send(view):]
-            except BlockingIOError:
-                peer.sleep(1000)
-            except OSError:
-                break
+        pour(peer, text)
         heard.append(peer.hear()[9:12])
 
     play.client(script)
@@ -394,14 +399,7 @@
 
     def script(peer: Peer) -> None:
         text = ask("write", Content_Length=str(len(LARGE) * 4)) + LARGE * 4
-        view = memoryview(text)
-        while view:
-            try:
-                view = view[peer.sock.send(view):]
-            except BlockingIOError:
-                peer.sleep(1000)
-            except OSError:
-                break
+        pour(peer, text)
         heard.append(peer.hear()[9:12])
 
     play.client(script)
