A large request that is whole is no longer timed: slow answers got 408

Found on reading the change again: ClientTask._pump did not return once the request was whole, so it read on under the pace's limit. An answer later than that limit became a 408 for a request that may have run, and more bytes from the client began its time anew. Test: an answer later than the pace's limit; it fails with the return taken out.

--- a/cressrail/sockets/client.py
+++ b/cressrail/sockets/client.py
@@ -112,7 +112,9 @@
                 self.net.tell(self.net.reducer.request_broke(now(), self.number, fault.status, str(fault)))
                 return True
             if reader.whole is not None:
+                # Guards against a pace that runs on when all is there: slow answers became slow requests.
                 self._uploaded()
+                return True
         return True
 
     def _room(self, rest: Pipe) -> bool:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -465,3 +465,23 @@
     play.client(sending(2_000, 50_000))  # never silent for long, and 40 kB a second
     play.run()
     assert heard == {30_000: b"200", 2_000: b"408"}
+
+
+def test_an_answer_that_is_long_in_coming_is_no_request_that_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "PACE_US", 50_000)
+    heard: list[tuple[bytes, bytes]] = []
+
+    def endpoint(peer: Peer) -> None:
+        peer.hear()
+        peer.take(KEPT * 3)
+        peer.sleep(300_000)
+        peer.say(reply(b"hello"))
+
+    def script(peer: Peer) -> None:
+        peer.say(ask("write", Content_Length=str(KEPT * 3)) + LARGE[:KEPT * 3])
+        heard.append(whole(peer))
+
+    play = Play([endpoint])
+    play.client(script)
+    play.run()
+    assert heard == [(b"200", b"hello")]
