The rule checker sees a transaction that was lost under a repeated sending

Cause: it closes the connection of a client that had used it before, and the stand-in client then sends the request once more, as the protocol has it for a close that crosses a request.

Calls now tell when they were sent once more. If an endpoint had the request by then, the sidecar had read it: rule 1. A close that really crossed one is not accused (a row of the table).

--- a/cressrail/load/sender.py
+++ b/cressrail/load/sender.py
@@ -203,6 +203,7 @@
                         "due_us": self.start_us + tx.due.due_us,
                         "began_us": began_us,
                         "sent_us": answer.sent_us,
+                        "again_us": answer.again_us,
                         "ended_us": answer.ended_us,
                         "status": answer.status,
                         "how": answer.how,
--- a/cressrail/peers/caller.py
+++ b/cressrail/peers/caller.py
@@ -26,7 +26,18 @@
 
 
 class Answer:
-    __slots__ = ("begun_us", "body", "ended_us", "fields", "how", "keep", "sent_us", "status", "surplus")
+    __slots__ = (
+        "again_us",
+        "begun_us",
+        "body",
+        "ended_us",
+        "fields",
+        "how",
+        "keep",
+        "sent_us",
+        "status",
+        "surplus",
+    )
 
     def __init__(self) -> None:
         self.how = ANSWERED
@@ -35,6 +46,7 @@
         self.body = b""
         self.keep = False
         self.sent_us = self.begun_us = self.ended_us = 0  # begun: a first byte of the answer came
+        self.again_us = 0  # its connection ended under it, and it was sent once more then
         self.surplus = 0  # bytes beyond the answer
 
 
@@ -120,6 +132,7 @@
             # A connection that was kept may be closed just as a request is on its way: sent once more, on
             # another.
             call.again, self.call = True, None
+            call.answer.again_us = now_us()
             self.caller.place(call)
         elif call is not None:
             self._finish(RESET, False)
--- a/cressrail/standin/endpoint.py
+++ b/cressrail/standin/endpoint.py
@@ -290,6 +290,7 @@
                 due_us=began,
                 began_us=began,
                 sent_us=answer.sent_us,
+                again_us=answer.again_us,
                 ended_us=answer.ended_us,
                 status=answer.status,
                 how=answer.how if self.up else "caller died",
--- a/cressrail/standin/judge.py
+++ b/cressrail/standin/judge.py
@@ -96,6 +96,19 @@
     how = call["how"]
     if not call["sent_us"] or how in ("no connection", "caller died"):
         return []
+    # A close may cross a request that was not read, which its client then sends once more. One that an
+    # endpoint had seen by then had been read, whatever became of the second sending. Guards against a lost
+    # transaction that shows as a repeat only.
+    if again := call.get("again_us"):
+        seen = next((h for h in hops if h["came_us"] <= again), None)
+        if seen is not None:
+            return [
+                Break(
+                    1,
+                    call["id"],
+                    f"closed without an answer after {seen['endpoint']} had it, at {call['target']}",
+                )
+            ]
     if how in ("reset", "not http"):
         return [
             Break(1, call["id"], f"no answer: {how} after {_ms(took)}, {len(hops)} hops, at {call['target']}")
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -238,6 +238,7 @@
     ([call("a")], [hop("a")]),
     ([call("a", sent_us=0, how="reset", status=0)], []),  # never taken
     ([call("a", how="no connection", sent_us=0, status=0)], []),
+    ([call("a", again_us=90)], [hop("a")]),  # a close crossed it
     ([call("a", status=503)], [hop("a", ran=False, how="turned away")]),
     ([call("a")], [hop("a", how="error"), hop("a", "x1", 200)]),  # idempotent, retried
     ([call("a", "note", status=502)], [hop("a", how="error")]),
@@ -254,6 +255,7 @@
     (1, "answered after 551.0 ms", [call("a", ended_us=551_001)], [hop("a")]),
     (1, "made for b", [call("a", echo="b")], [hop("a")]),
     (1, "no endpoint committed", [call("a")], [hop("a", how="error")]),
+    (1, "closed without an answer after x0", [call("a", again_us=150)], [hop("a"), hop("a", "x1", 200)]),
     (1, "7 bytes after", [call("a"), {"surplus": 7, "target": "door"}], [hop("a")]),
     (2, "non-idempotent, ran on x0", [call("a", "note")], [hop("a", how="error"), hop("a", "x1", 200)]),
     (2, "rolled back, but it ran", [call("a", "note", status=503)], [hop("a", how="error")]),
