Cold endpoints get by what a copy carried before, and late is half the goal at most

All hops out of time were the door's, at cold and warm endpoints alike (13% and 16%); the tiers behind stood at 0.13 and 0.06 of the goal, with a third of their limits used. Two causes in the module, from a probe that wrote each copy's state once a second:

ColdRule.credit gave cold endpoints a part of what the copy carries now. With 16 of 19 endpoints of a zone cold that shrinks what it carries, and with it the credit, round after round; a restarted copy starts at one hop. It goes by the highest rate of late, forgotten in four times to be warm, and by an even part of the members' allowances at least.

Sidecar._learn_usual set the bar for late by the swings of now, which crowding widens (0.29 to 0.58 of the mean), and copies restarted amid it learned their usual latency there: the bar went from 0.49 to 0.76 of the goal. The margin is kept from when latency was at its lowest, and the bar is half the goal at most, since after a later hop no other would be in time.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -32,11 +32,13 @@
 BUDGET_WINDOW_US = 10_000_000  # the longest window that the design allows: inner copies see little traffic
 LATE_SHARE = 0.8  # of the service goal, by tiers still to go: a slower hop is late, until the usual is known
 LATE_SWINGS = 2.0  # then a hop is late that takes so many mean swings more than is usual
+LATE_MOST = 0.5  # of the service goal: after a later one no other hop would be in time
 USUAL_MEMORY = 64  # hops that the usual latency looks back on
 USUAL_RISE_US = 60_000_000  # in which the lowest mean latency of late is forgotten
 CUT_SHARE = 0.75  # what is left of a limit that is cut
 DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
+MOST_FORGOTTEN = 4  # times to be warm, in which the highest rate of late is forgotten
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
 FIRST_LIMIT = 6.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
@@ -253,14 +255,19 @@
     """This copy's part of the work that a starting endpoint may get: what a warm one of its group gets from
     here, times the share of capacity it has surely regained. Credit never runs ahead by more than one hop."""
 
-    def __init__(self, cold_from: float, warm_within_us: int, now: int) -> None:
+    def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float = 0.0) -> None:
+        self.even = even  # an even part of what all members may send, a microsecond
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
+        self.most = 0.0  # a microsecond, of late; what members are allowed at an even part is no less
         self.ceded = False  # to another process of this sidecar
 
     def carry(self, now: int) -> None:
-        self.carried = self.carried * max(0.0, 1 - (now - self.carried_us) / self.warm_within_us) + 1
+        gone = (now - self.carried_us) / self.warm_within_us
+        self.carried = self.carried * max(0.0, 1 - gone) + 1
         self.carried_us = now
+        span = min(self.warm_within_us, max(self.warm_within_us // 8, now - self.born_us))
+        self.most = max(self.carried / span, self.most * max(0.0, 1 - gone / MOST_FORGOTTEN))
 
     def cold(self, e: Endpoint, now: int) -> bool:
         return e.started_us > 0 and now < e.started_us + self.warm_within_us
@@ -270,7 +277,9 @@
         share = self.cold_from + (1 - self.cold_from) * age
         # Guards against a copy that restarts amid a fleet of cold endpoints and has carried nothing to go by.
         span = max(1, min(self.warm_within_us, now - self.born_us))
-        rate = max(1.0, self.carried) / span * part * share
+        # Guards against a fleet cold for the most part: what is carried shrinks for that, and by it what cold
+        # endpoints get, again and again. And against copies that began amid it.
+        rate = max(max(1.0, self.carried) / span, self.most, self.even) * part * share
         e.cold_credit = min(1.0, e.cold_credit + rate * (now - e.cold_us))
         e.cold_us = now
         return e.cold_credit >= 1.0 and not self.ceded
@@ -405,9 +414,9 @@
         self.order = [(zone + k) % zones for k in range(zones)]
         self.groups = [Group([], 0, 0) for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
-        self.late = LATE_SHARE * tiers_to_go  # latency in service goals past which a hop is late
+        self.late = min(LATE_MOST, LATE_SHARE * tiers_to_go)  # in service goals; a slower hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
-        self.usual_us, self.heard = now, 0
+        self.usual_us, self.heard, self.margin = now, 0, 0.0  # margin: over the usual, of the swings with it
         self.last_tier, self.at_door = last_tier, at_door
         self.round_us, self.come_back_us, self.may_cancel = round_us, come_back_us, may_cancel
         self.asking, self.repeat_rule, self.cold_rule, self.shares = asking, repeat_rule, cold_rule, shares
@@ -741,8 +750,12 @@
         self.swing += (abs(took - self.mean) / self.mean - self.swing) * weight
         if self.heard >= USUAL_MEMORY:
             risen = self.usual * (1 + (now - self.usual_us) / USUAL_RISE_US)
-            self.usual = min(self.mean, risen) if risen else self.mean
-            self.late = min(1.0, self.usual * (1 + LATE_SWINGS * self.swing))
+            if not risen or self.mean <= risen:
+                # Crowding widens swings as well. Guards against a margin that grows with what it is to tell.
+                self.usual, self.margin = self.mean, LATE_SWINGS * self.swing
+            else:
+                self.usual = risen
+            self.late = min(LATE_MOST, self.usual * (1 + self.margin))
         self.usual_us = now
 
     def _adjust_spill(self, now: int) -> None:
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -73,6 +73,7 @@
     subscribes = told.one_of("membership_mode", {"automatic": "", "subscribe": "1"}) == "1"
     chance = Chance(seed)
     copies = told.whole("n_instances", 1)
+    shares = Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0)
     return Sidecar(
         chance=chance, zone=zones.index(told.word("zone")), zones=len(zones),
         tiers_to_go=(len(tiers) - stage) / len(tiers), last_tier=stage == len(tiers) - 1, at_door=stage == 0,
@@ -82,7 +83,7 @@
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
-                           now),
-        shares=Shares(allowances, copies, told.real("surplus_revenue", 0, 1) if allowances else 1.0),
+                           now, shares.total),
+        shares=shares,
         copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
         beside=beside(told))
