A process that takes over also learns the margin for late and the rate for cold endpoints

Found on reading the change again: the margin over the usual latency and the highest carried rate, new with the mends, are no part of what a process hands over. The new one's margin was 0 until its mean latency came down to the usual, so every hop slower than usual would have cut limits, and its cold endpoints began at what it carried itself.

Both follow from what is told already, so the frame stays as it is and processes of two versions can meet.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -259,15 +259,18 @@
         self.even = even  # an even part of what all members may send, a microsecond
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
-        self.most = 0.0  # a microsecond, of late; what members are allowed at an even part is no less
+        self.most = 0.0  # the highest rate of these of late, a microsecond
         self.ceded = False  # to another process of this sidecar
 
     def carry(self, now: int) -> None:
         gone = (now - self.carried_us) / self.warm_within_us
         self.carried = self.carried * max(0.0, 1 - gone) + 1
         self.carried_us = now
-        span = min(self.warm_within_us, max(self.warm_within_us // 8, now - self.born_us))
-        self.most = max(self.carried / span, self.most * max(0.0, 1 - gone / MOST_FORGOTTEN))
+        self.most = max(self.carried / self.span(now), self.most * max(0.0, 1 - gone / MOST_FORGOTTEN))
+
+    def span(self, now: int) -> int:
+        """In which `carried` was carried. Guards against a rate made of the first moments."""
+        return min(self.warm_within_us, max(self.warm_within_us // 8, now - self.born_us))
 
     def cold(self, e: Endpoint, now: int) -> bool:
         return e.started_us > 0 and now < e.started_us + self.warm_within_us
--- a/cressrail/handover/estate.py
+++ b/cressrail/handover/estate.py
@@ -73,9 +73,12 @@
                 setattr(e, name, value)
     for name, value in zip((*WHOLE_NUMBERS, *WHOLE_TIMES), (*numbers, *times), strict=True):
         setattr(sidecar, name, value)
+    # What follows from these is not told, so that processes of two versions can meet.
+    sidecar.margin = max(0.0, sidecar.late / sidecar.usual - 1) if sidecar.usual else 0.0
     sidecar.budget.taken, sidecar.budget.retried = deque(taken), deque(retried)
     rule = sidecar.cold_rule
     rule.born_us, rule.carried, rule.carried_us = cold
+    rule.most = rule.carried / rule.span(now)
     of = sidecar.shares
     if len(shares[0]) == len(of.credit):
         of.credit, of.filled_us = shares[0], shares[1]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -82,6 +82,20 @@
     assert new.all(do.Listen) == [do.Listen(True)]
 
 
+def test_what_follows_from_what_is_told_goes_over_too() -> None:
+    old, new = beside(), beside()
+    rule, side = old.reducer.sidecar.cold_rule, old.reducer.sidecar
+    for n in range(200):
+        rule.carry(n * SECOND // 40)
+        side._learn_usual(SECOND, (0.1, 0.3)[n % 2])
+    estate.settle(told(old, 5 * SECOND), new.reducer.sidecar, new.reducer.roster.names(), 5 * SECOND)
+    assert new.reducer.sidecar.cold_rule.most == pytest.approx(rule.most, rel=0.15)
+    before = side.late
+    for heir in (side, new.reducer.sidecar):
+        heir._learn_usual(SECOND, 0.9)
+        assert heir.late == pytest.approx(before)
+
+
 @pytest.mark.parametrize("spoil", [
     lambda e: e.pop("budget"), lambda e: e["whole"].pop(), lambda e: e["endpoints"][0].pop(),
     lambda e: e.update(cold=[1, "x", 2]), lambda e: e["budget"][0].append(1.5),
