--- a/tools/regress.py
+++ b/tools/regress.py
@@ -1,8 +1,9 @@
 """make regress KIT=...: all days of the users' benches in turn, never two at once, beside recorded figures.
+make standing KIT=...: those alone that have a gate.
 
-Exits 1 where a rule broke, a run failed or a figure fell by more than the margin; 2, with one line, where the
-kit is missing or the figures can't be read. The benches leave their own entries in journal/; figures are read
-there.
+Exits 1 where a rule broke, a run failed, a gate did not pass or a figure fell by more than the margin; 2,
+with one line, where the kit is missing or the figures can't be read. The benches leave their own entries in
+journal/; figures are read there, and the gate in the last line that a bench prints.
 """
 
 from __future__ import annotations
@@ -29,15 +30,16 @@
     recorded: float | None
     found: float | None
     broken: bool
+    gate: str = ""  # what keeps it shut, in the bench's words; empty where it passed or the day has none
 
     def fell(self, margin: float) -> bool:
-        if self.found is None or self.broken:
+        if self.found is None or self.broken or self.gate:
             return True
         return self.recorded is not None and self.found < self.recorded - margin
 
     def row(self, margin: float) -> str:
-        said = "rule broken" if self.broken else "no figure" if self.found is None else (
-            "fell" if self.fell(margin) else "")
+        said = self.gate or ("rule broken" if self.broken else "no figure" if self.found is None else
+                             "fell" if self.fell(margin) else "")
         return f"{self.name:38} {_shown(self.recorded):>8} {_shown(self.found):>8}  {said}".rstrip()
 
 
@@ -45,6 +47,16 @@
     return "-" if figure is None else f"{figure:.3f}"
 
 
+def gate(lines: list[str], ended: int) -> str:
+    """Nothing where the last line says that the gate was passed. Guards against a run that was cut off, or
+    whose last line is worded otherwise, being taken for one that passed."""
+    last = next((line.strip() for line in reversed(lines) if line.strip()), "")
+    if last.startswith("GATE passed") and not ended:
+        return ""
+    return last if last.startswith("GATE failed") else "no GATE line" if not last.startswith("GATE") else (
+        f"GATE line, but it ended with {ended}" if ended else f"unknown: {last}")
+
+
 def figures(path: Path) -> dict[str, Any]:
     try:
         told = tomllib.loads(path.read_text())
@@ -78,7 +90,7 @@
     broken = "BROKEN" in ended.stdout or any(
         (entry.get("figures") or {}).get("rule_days_broken") for entry in entries)
     return Played(day["name"], day.get(size), float(scores[-1]) if scores and not ended.returncode else None,
-                  broken)
+                  broken, gate(ended.stdout.splitlines(), ended.returncode) if day.get("gate") else "")
 
 
 def main(words: list[str]) -> int:
@@ -87,14 +99,15 @@
         if not words or not kit.is_dir():
             raise Unusable(f"KIT={kit}: no kit there")
         told = figures(FIGURES)
-        for day in told["day"]:
+        days = [day for day in told["day"] if day.get("gate") or "--standing" not in words]
+        for day in days:
             for part in (day["bench"], day["site"]):
                 if not (kit / part).is_file():
                     raise Unusable(f"{kit / part}: not in the kit")
     except Unusable as fault:
         print(f"regress: {fault}", file=sys.stderr)
         return 2
-    played = [play(kit, day, size) for day in told["day"]]
+    played = [play(kit, day, size) for day in days]
     print(f"\n{size + ', simulated servers':38} {'recorded':>8} {'now':>8}")
     for one in played:
         print(one.row(told["margin"]))
