--- a/tools/regress.py
+++ b/tools/regress.py
@@ -3,7 +3,7 @@
 
 Exits 1 where a rule broke, a run failed, a gate did not pass or a figure fell by more than the margin; 2,
 with one line, where the kit is missing or the figures can't be read. The benches leave their own entries in
-journal/; figures are read there, and the gate in the last line that a bench prints.
+journal/; figures are read there, and the gate in the line that begins with GATE.
 """
 
 from __future__ import annotations
@@ -48,13 +48,15 @@
 
 
 def gate(lines: list[str], ended: int) -> str:
-    """Nothing where the last line says that the gate was passed. Guards against a run that was cut off, or
-    whose last line is worded otherwise, being taken for one that passed."""
-    last = next((line.strip() for line in reversed(lines) if line.strip()), "")
-    if last.startswith("GATE passed") and not ended:
-        return ""
-    return last if last.startswith("GATE failed") else "no GATE line" if not last.startswith("GATE") else (
-        f"GATE line, but it ended with {ended}" if ended else f"unknown: {last}")
+    """Nothing where the bench says that the gate was passed, and never that it was not; hints may follow that
+    line. Guards against a run that was cut off, or is worded otherwise, being taken for one that passed."""
+    said = [line.strip() for line in lines if line.startswith("GATE")]
+    if not said:
+        return "no GATE line"
+    for line in said:
+        if not line.startswith("GATE passed"):
+            return line if line.startswith("GATE failed") else f"unknown: {line}"
+    return f"GATE line, but it ended with {ended}" if ended else ""
 
 
 def figures(path: Path) -> dict[str, Any]:
