A rig that does harm between sidecars and to their processes, and judges their views

Need: membership is proven only by real processes with faults between them.

The setting 'use' is gone until something goes by it: it was read and did nothing.

--- a/cressrail/experiment/play.py
+++ b/cressrail/experiment/play.py
@@ -58,7 +58,7 @@
     the fleet does not come up."""
     folder.mkdir(parents=True, exist_ok=True)
     file = folder / "world.toml"
-    file.write_text(tomlkit.dumps(world.model_dump(by_alias=True)))
+    file.write_text(tomlkit.dumps(world.model_dump(by_alias=True, exclude_none=True)))
     env = {**os.environ, "PYTHONPATH": str(HERE)}
     command = [sys.executable, "-m", "cressrail", "standin", "run", str(file), "--out", str(folder), "--wait",
                "--tree", str(tree), "--policy", policy, "--break", broken]
--- a/cressrail/outfit/membership.py
+++ b/cressrail/outfit/membership.py
@@ -15,15 +15,13 @@
 from cressrail.outfit.told import Told, Unfit, under
 
 MOST_KEYS = 2
-USES = ("copies", "cold", "failing")
-KNOWN = ("listen", "advertise", "seeds", "keys", "zone", "bear_pause_ms", "most_bytes", "use")
+KNOWN = ("listen", "advertise", "seeds", "keys", "zone", "bear_pause_ms", "most_bytes")
 
 
 @dataclass(frozen=True, slots=True)
 class Part:
     listen: Address
     settings: Settings
-    use: tuple[str, ...]  # which decisions go by it
 
 
 def read_part(told: Any, config: str, name: str, zone: str) -> Part:
@@ -71,10 +69,6 @@
     for path, text, longest in (("zone", zone, LONGEST_ZONE), ("name", name, LONGEST_NAME)):
         if not text or len(text.encode()) > longest:
             raise Unfit(f"{path} is not within 1 and {longest} bytes: {text[:80]}")
-    use = tuple(told.names("use")) if part.get("use") else ()
-    for word in use:
-        if word not in USES:
-            raise Unfit(f"use is none of {', '.join(USES)}: {word[:40]}")
     most = told.whole("most_bytes", LEAST_BYTES, absent=MOST_BYTES)
     if most > MOST_BYTES:
         raise Unfit(f"most_bytes is above {MOST_BYTES}: {most}")
@@ -82,13 +76,8 @@
     if bear > 600_000:
         raise Unfit(f"bear_pause_ms is above 600000: {bear}")
     seeds = tuple(_address(f"seeds.{n}", seed) for n, seed in enumerate(_list(part, "seeds")))
-    return Part(
-        listen,
-        Settings(
-            name, zone, advertise, seeds, _keys(os.path.join(folder, told.word("keys"))), bear * 1000, most
-        ),
-        use,
-    )
+    keys = _keys(os.path.join(folder, told.word("keys")))
+    return Part(listen, Settings(name, zone, advertise, seeds, keys, bear * 1000, most))
 
 
 def _list(part: dict[str, Any], path: str) -> list[str]:
--- /dev/null
+++ b/cressrail/standin/harm.py
@@ -0,0 +1,134 @@
+"""Harm between sidecars and to their processes, as a fleet's file words it; and schedules of it drawn from a
+seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cressrail.peers.caller import now_us
+from cressrail.standin.ledger import Ledger
+from cressrail.standin.sidecars import Sidecar, Sidecars
+from cressrail.standin.wires import Rule, Wires
+from cressrail.standin.words import Fault, Schedule
+
+Start = Callable[[Sidecar, str], Awaitable[None]]
+
+
+class Harm:
+    """Begins and ends faults on named sidecars. The only one to stall, kill and start them again under
+    way."""
+
+    def __init__(self, sidecars: Sidecars, wires: Wires, ledger: Ledger, start: Start, seed: int) -> None:
+        self.sidecars, self.wires, self.ledger, self.start = sidecars, wires, ledger, start
+        self.chance = random.Random(seed)
+        self.chosen: dict[int, list[Sidecar]] = {}  # by fault, until it ends
+        self.rules: dict[int, Rule] = {}
+        self.stalls: dict[str, int] = {}  # how many faults hold each one still
+
+    def among(self, words: list[str]) -> list[Sidecar]:
+        """By name, `zone:NAME`, `tier:N`, or all where nothing is named."""
+
+        def meant(sidecar: Sidecar) -> bool:
+            return not words or any(
+                word in (sidecar.name, f"zone:{sidecar.zone}", f"tier:{sidecar.tier_no}") for word in words
+            )
+
+        return [sidecar for sidecar in self.sidecars.all if meant(sidecar)]
+
+    def names(self, words: list[str]) -> frozenset[str]:
+        return frozenset(sidecar.name for sidecar in self.among(words)) if words else frozenset()
+
+    async def begin(self, number: int, fault: Fault) -> list[str]:
+        """Whom it met."""
+        if fault.kind == "wire":
+            self.rules[number] = Rule(
+                self.names(fault.from_),
+                self.names(fault.to),
+                fault.share,
+                fault.delay_ms / 1000,
+                fault.jitter_ms / 1000,
+                fault.duplicate,
+                fault.reorder,
+                fault.corrupt,
+                fault.rate,
+            )
+            self.wires.rules = list(self.rules.values())
+            if fault.share >= 1.0:
+                self.ledger.note(cut=number, on=True, at_us=now_us(), ways=[
+                    sorted(self.rules[number].from_), sorted(self.rules[number].to)])
+            return sorted(self.rules[number].from_ | self.rules[number].to)
+        chosen = self.among(fault.who)
+        if fault.share < 1.0:
+            chosen = self.chance.sample(chosen, round(fault.share * len(chosen)))
+        self.chosen[number] = chosen
+        for sidecar in chosen:
+            if fault.kind == "stall-process":
+                self.stalls[sidecar.name] = self.stalls.get(sidecar.name, 0) + 1
+                self.sidecars.stall(sidecar)
+                self.told(sidecar, "stalled")
+            elif fault.kind in ("kill", "restart"):
+                self.sidecars.kill(sidecar)
+                self.told(sidecar, "killed")
+            elif fault.kind == "stop" and sidecar.process is not None:
+                sidecar.process.terminate()
+                self.told(sidecar, "stopped")
+        if fault.kind == "restart":
+            await self._again(chosen, fault.config)
+        return [sidecar.name for sidecar in chosen]
+
+    async def end(self, number: int, fault: Fault) -> None:
+        if fault.kind == "wire":
+            del self.rules[number]
+            self.wires.rules = list(self.rules.values())
+            if fault.share >= 1.0:
+                self.ledger.note(cut=number, on=False, at_us=now_us())
+            return
+        chosen = self.chosen.pop(number, [])
+        if fault.kind == "stall-process":
+            for sidecar in chosen:
+                self.stalls[sidecar.name] -= 1
+                if not self.stalls[sidecar.name] and sidecar.process is not None:
+                    self.sidecars.go_on(sidecar)
+                    self.told(sidecar, "running")
+        elif fault.kind in ("kill", "stop"):
+            for sidecar in chosen:
+                self.sidecars.kill(sidecar)  # one told to stop that is still there
+            await self._again(chosen, fault.config)
+
+    async def _again(self, chosen: list[Sidecar], config: str) -> None:
+        for sidecar in chosen:
+            await self.start(sidecar, config)
+            self.told(sidecar, "up" if config != "older" else "silent")  # an older one takes no part
+
+    def told(self, sidecar: Sidecar, how: str) -> None:
+        self.ledger.note(process=sidecar.name, how=how, pool=sidecar.tier_no, at_us=now_us())
+
+
+def drawn(schedule: Schedule, seconds: float, names: list[str]) -> list[Fault]:
+    """So many faults, overlapping as they fall; the same for the same seed."""
+    chance = random.Random(schedule.seed)
+    found = []
+    for _ in range(schedule.faults):
+        kind = chance.choice(schedule.kinds)
+        for_s = chance.uniform(0.2, schedule.longest_s)
+        at_s = chance.uniform(0.0, max(0.0, seconds - for_s))
+        told: dict[str, Any] = {"at_s": at_s, "for_s": for_s, "kind": kind}
+        if kind == "wire":
+            ways = chance.choice((["one"], ["one", "many"]))
+            told |= {"from": chance.sample(names, 1), "to": [] if "many" in ways else chance.sample(names, 1)}
+            told |= chance.choice(
+                (
+                    {"share": 1.0},
+                    {"share": chance.uniform(0.05, 0.5)},
+                    {"delay_ms": 80.0, "jitter_ms": 80.0},
+                    {"duplicate": 0.3, "reorder": 0.3},
+                    {"corrupt": 0.3},
+                    {"rate": 5.0},
+                )
+            )
+        else:
+            told["who"] = chance.sample(names, chance.randint(1, max(1, len(names) // 3)))
+        found.append(Fault.model_validate(told))
+    return sorted(found, key=lambda fault: fault.at_s)
--- /dev/null
+++ b/cressrail/standin/watchers.py
@@ -0,0 +1,65 @@
+"""Looks at each sidecar's view of the others, at its operators' door, and writes down what it says."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cressrail.peers.caller import Answer, Caller, now_us
+from cressrail.standin.ledger import Ledger
+from cressrail.standin.sidecars import Sidecar
+
+ASK = b"GET /membership HTTP/1.1\r\nhost: x\r\n\r\n"
+SPAN_US = 1_000_000
+
+
+class Watchers:
+    def __init__(self, ledger: Ledger, folder: Path) -> None:
+        self.ledger, self.folder = ledger, folder
+        self.last: dict[str, bytes] = {}  # what was written of each, to write only what differs
+        self.views: dict[str, dict[str, Any]] = {}  # the latest of each
+
+    async def watch(self, sidecar: Sidecar, every_s: float, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        loop = asyncio.get_running_loop()
+        while True:
+            began = loop.time()
+            if sidecar.process is not None:
+                heard: asyncio.Future[Answer] = loop.create_future()
+                Caller(*sidecar.ops, most=1, keep=False).call(ASK, SPAN_US, heard.set_result)
+                answer = await heard
+                if answer.status == 200:
+                    self._note(sidecar.name, bytes(answer.body))
+            await asyncio.sleep(max(0.0, began + every_s - loop.time()))
+
+    def read_logs(self, names: list[str]) -> None:
+        """What each said in its log of the others, on the clock of the ledger."""
+        apart_us = time.time_ns() // 1000 - now_us()
+        for name in names:
+            for line in (self.folder / f"{name}.log").read_bytes().splitlines():
+                if b'"event":"copy_' in line or b'"event":"membership_junk"' in line:
+                    with suppress(orjson.JSONDecodeError):  # one that was cut off by a kill
+                        told = orjson.loads(line)
+                        self.ledger.note(said=name, event=told["event"], copy=told.get("copy", ""),
+                                         for_ms=told.get("for_ms", 0), at_us=told["at_us"] - apart_us)
+
+    def _note(self, name: str, text: bytes) -> None:
+        told = orjson.loads(text)
+        said = {
+            "alive": told["alive"],
+            "settled": told["settled"],
+            "states": {copy["name"]: copy["state"] for copy in told["copies"]},
+            "cannot_reach": {
+                copy["name"]: copy["cannot_reach"] for copy in told["copies"] if copy["cannot_reach"]
+            },
+        }
+        self.views[name] = said
+        line = orjson.dumps(said, option=orjson.OPT_SORT_KEYS)
+        if self.last.get(name) != line:
+            self.last[name] = line
+            self.ledger.note(view=name, at_us=now_us(), **said)
