The rig kills many at once without holding itself up, and counts lag from the run's start

Change: kills are sent together and reaped under way; four start at a time; what the relay lagged before the run does not count.

--- a/cressrail/standin/fleet.py
+++ b/cressrail/standin/fleet.py
@@ -130,6 +130,7 @@
         """All faults of the file, each at its time after `start_us` of the steady clock."""
         self.ledger.note(start_us=start_us)
         self._spent()
+        self.relay.worst_s = 0.0
         faults = list(self.world.faults)
         if self.world.schedule is not None:
             faults += drawn(self.world.schedule, self.world.seconds, [s.name for s in self.sidecars.all])
--- a/cressrail/standin/harm.py
+++ b/cressrail/standin/harm.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -13,6 +14,7 @@
 from cressrail.standin.wires import Rule, Wires
 from cressrail.standin.words import Fault, Schedule
 
+AT_ONCE = 4  # sidecars that are started together
 Start = Callable[[Sidecar, str], Awaitable[None]]
 
 
@@ -63,14 +65,15 @@
         if fault.share < 1.0:
             chosen = self.chance.sample(chosen, round(fault.share * len(chosen)))
         self.chosen[number] = chosen
+        if fault.kind in ("kill", "restart"):
+            for sidecar in chosen:
+                self.told(sidecar, "killed")
+            await self.sidecars.kill_all(chosen)
         for sidecar in chosen:
             if fault.kind == "stall-process":
                 self.stalls[sidecar.name] = self.stalls.get(sidecar.name, 0) + 1
                 self.sidecars.stall(sidecar)
                 self.told(sidecar, "stalled")
-            elif fault.kind in ("kill", "restart"):
-                self.sidecars.kill(sidecar)
-                self.told(sidecar, "killed")
             elif fault.kind == "stop" and sidecar.process is not None:
                 sidecar.process.terminate()
                 self.told(sidecar, "stopped")
@@ -93,14 +96,21 @@
                     self.sidecars.go_on(sidecar)
                     self.told(sidecar, "running")
         elif fault.kind in ("kill", "stop"):
-            for sidecar in chosen:
-                self.sidecars.kill(sidecar)  # one told to stop that is still there
+            await self.sidecars.kill_all(chosen)  # also one told to stop that is still there
             await self._again(chosen, fault.config)
 
     async def _again(self, chosen: list[Sidecar], config: str) -> None:
-        for sidecar in chosen:
-            await self.start(sidecar, config)
-            self.told(sidecar, "up" if config != "older" else "silent")  # an older one takes no part
+        """A few at a time: more would take the processor from the rest of the fleet."""
+        todo = list(chosen)
+
+        async def work() -> None:
+            while todo:
+                sidecar = todo.pop()
+                await self.start(sidecar, config)
+                # An older one takes no part.
+                self.told(sidecar, "up" if config != "older" else "silent")
+
+        await asyncio.gather(*(work() for _ in range(AT_ONCE)))
 
     def told(self, sidecar: Sidecar, how: str) -> None:
         self.ledger.note(process=sidecar.name, how=how, pool=sidecar.tier_no, at_us=now_us())
--- a/cressrail/standin/sidecars.py
+++ b/cressrail/standin/sidecars.py
@@ -208,6 +208,16 @@
             sidecar.process.wait()
             sidecar.process = None
 
+    async def kill_all(self, chosen: list[Sidecar]) -> None:
+        """At once, and without holding up this process: an end takes its time where many end."""
+        ending = [sidecar.process for sidecar in chosen if sidecar.process is not None]
+        for process in ending:
+            process.kill()
+        while any(process.poll() is None for process in ending):
+            await asyncio.sleep(0.005)
+        for sidecar in chosen:
+            sidecar.process = None
+
     def close(self) -> None:
         for sidecar in self.all:
             if sidecar.process is not None:
--- a/cressrail/standin/views.py
+++ b/cressrail/standin/views.py
@@ -121,6 +121,8 @@
             else:
                 n = open_.pop(row["cut"])
                 seen.cuts[n] = (seen.cuts[n][0], row["at_us"], *seen.cuts[n][2:])
+        elif "start_us" in row:
+            seen.lag_s = 0.0  # what it lagged while all processes started is no part of the run
         elif "relay_lag_s" in row:
             seen.lag_s = max(seen.lag_s, row["relay_lag_s"])
     return seen
