Drawn faults leave the last fifth of a run quiet, so that agreement at its end can be seen

Cause: in the fleet drawn.toml four sidecars had started again 0.2 s before the run ended; its view of agreement at the end said nothing. Faults now fall within four fifths of the run.

--- a/cressrail/standin/harm.py
+++ b/cressrail/standin/harm.py
@@ -14,6 +14,7 @@
 from cressrail.standin.wires import Rule, Wires
 from cressrail.standin.words import Fault, Schedule
 
+DRAWN_PART = 0.8  # of a run, in which drawn faults fall; the rest shows whether all find together again
 AT_ONCE = 4  # sidecars that are started together
 Start = Callable[[Sidecar, str], Awaitable[None]]
 
@@ -123,7 +124,7 @@
     for _ in range(schedule.faults):
         kind = chance.choice(schedule.kinds)
         for_s = chance.uniform(0.2, schedule.longest_s)
-        at_s = chance.uniform(0.0, max(0.0, seconds - for_s))
+        at_s = chance.uniform(0.0, max(0.0, seconds * DRAWN_PART - for_s))
         told: dict[str, Any] = {"at_s": at_s, "for_s": for_s, "kind": kind}
         if kind == "wire":
             ways = chance.choice((["one"], ["one", "many"]))
--- a/tests/test_harm.py
+++ b/tests/test_harm.py
@@ -465,7 +465,7 @@
         "kill",
         "restart",
     }
-    assert all(f.at_s >= 0 and f.at_s + f.for_s <= 30 + 1e-6 for f in one)
+    assert all(f.at_s >= 0 and f.at_s + f.for_s <= 24 + 1e-6 for f in one)
     for fault in one:
         assert Fault.model_validate(fault.model_dump(by_alias=True)) == fault
 
