One lag counts once, marks are told anew in time, and a sidecar has one process

Found on rereading. A late timer made a copy distrust itself once for each datagram that had waited: ten within an eighth of a second took it to level 8. Own marks were told anew at one tend in ten by chance, so they could fade at others while the cut lasted. Two faults that overlap could start a process over one that ran, which nobody then ended. Each has a test that fails without its mend.

--- a/cressrail/membership/reducer.py
+++ b/cressrail/membership/reducer.py
@@ -55,6 +55,7 @@
 KEEP_LOST, KEEP_LEFT = 7200, 120  # periods
 # periods for which an answer tells that its copy can be called, and so many copies
 ANSWERED, MOST_ANSWERED = 10, 16
+MARKS_EVERY, MARKS_FADE = 20, 60  # periods until own marks are told anew, and until those of others fade
 JUNK_EVERY = 20  # periods to a line on junk
 
 
@@ -80,7 +81,7 @@
         self.table = Table()
         self.awareness = Awareness(settings.aware)
         self.rumours = Rumours()
-        self.edges = Edges(self.id, settings.period_us * 60)
+        self.edges = Edges(self.id, settings.period_us * MARKS_FADE)
         self.suspicions: dict[int, Suspicion] = {}
         self.doubtful: dict[int, int] = {}  # suspected wrongly of late, until when that counts
         self.private: dict[int, int] = {}  # lost in this copy's eyes alone, and since when
@@ -104,7 +105,7 @@
         self.seeds: list[Address] = []
         self.heard_us = self.changed_us = now
         self.mute_us = -1  # since when it tells nobody whom it can't reach, as the fault may be its own
-        self.bumped_us = now
+        self.bumped_us = self.marked_us = now
         self.doubted_us = now  # until then it shows signs of life, as others had taken it for lost
         self.leaving = False
         self.junk = 0
@@ -128,7 +129,10 @@
         return self._done()
 
     def woke(self, now: int) -> list[Effect]:
+        late_us = now - self.wake_us
         self._notice(now)
+        if late_us > self.settings.period_us // 8:  # once a lag, however many datagrams waited meanwhile
+            self.awareness.worse()
         while self.timers and self.timers[0][0] <= now and not self.leaving:
             _, _, what, arg = heappop(self.timers)
             getattr(self, f"_{what}")(now, arg)
@@ -234,8 +238,6 @@
         tell."""
         period = self.settings.period_us
         late_us = now - self.timers[0][0] if self.timers else 0
-        if late_us > period // 8:
-            self.awareness.worse()
         if self.leaving or late_us <= period // 2:
             return
         self._note("copy_paused", for_ms=late_us // 1000)
@@ -267,7 +269,9 @@
             self.mute_us = now
         if self._silent(now) or now < self.doubted_us or self.edges.callers(self.id):
             self._bump(now)  # a sign of life for those who can't call it, as long as anybody hears it
-        for edge in self.edges.again(now) if self.timer_no % 10 == 0 else []:
+        again = now - self.marked_us >= MARKS_EVERY * period
+        self.marked_us = now if again else self.marked_us
+        for edge in self.edges.again(now) if again else []:
             self._tell(now, ("edge", edge.by, edge.of), codec.edge(edge))
         due = [i for i, (at_us, _) in self.lost.items() if at_us <= now]
         for i in due[:2]:
@@ -867,8 +871,8 @@
         return chosen
 
     def _mixed(self, most: int, now: int, but: int = 0) -> list[int]:
-        """The same, but for one drawn from those that answered lately: guards against news that get no
-        further, or too late, where most can't call each other."""
+        """The same, all but one of them drawn from those that answered lately: guards against news that get
+        no further, or too late, where most can't call each other."""
         sure = [
             i
             for i, at_us in self.answered.items()
--- a/cressrail/membership/table.py
+++ b/cressrail/membership/table.py
@@ -132,14 +132,6 @@
         """Rows of the ids above `low`, up to `high`."""
         return iter(range(bisect_right(self.ids, low), bisect_right(self.ids, high)))
 
-    def count(self) -> dict[str, int]:
-        """How many take part, by zone."""
-        counts: dict[str, int] = {}
-        for at, state in enumerate(self.states):
-            if state < LOST:
-                counts[self.zone(at)] = counts.get(self.zone(at), 0) + 1
-        return counts
-
     def old(self, now: int, lost_us: int, left_us: int) -> list[int]:
         """Ids of those that nobody needs to remember any more."""
         return [
--- a/cressrail/standin/sidecars.py
+++ b/cressrail/standin/sidecars.py
@@ -143,6 +143,7 @@
         self.all: list[Sidecar] = []
 
     def start(self, sidecar: Sidecar, copies: int, seed: int, older: bool = False) -> None:
+        self.kill(sidecar)  # guards against faults that overlap and leave a process that nobody owns
         config = self.folder / f"{sidecar.name}.json"
         config.write_bytes(orjson.dumps(told(self.world, sidecar, copies, seed) | (OLDER if older else {})))
         log = open(self.folder / f"{sidecar.name}.log", "ab")  # noqa: SIM115 - closed below, once it is the child's
--- a/cressrail/standin/wires.py
+++ b/cressrail/standin/wires.py
@@ -121,7 +121,6 @@
         self.looked_s = 0.0
         self.look: asyncio.TimerHandle | None = None
         self.worst_s = 0.0
-        self.strangers = 0
 
     def post(self, name: str, listen: Address, advertise: Address) -> None:
         """From here on what comes for `advertise` goes to `listen`."""
@@ -149,7 +148,7 @@
             self.wires.counts["bytes"] += len(data) + HEADERS
             name = self.names.get(source[:2])
             if name is None:
-                self.strangers += 1  # a flood from outside the fleet goes through as it is
+                self.wires.counts["strangers"] += 1  # a flood from outside the fleet goes through as it is
                 self._send(post, data)
                 continue
             fate = self.wires.fate(name, post.name, now_s)
--- a/cressrail/standin/words.py
+++ b/cressrail/standin/words.py
@@ -165,7 +165,7 @@
             if any(not 0 <= e < self.fleet.tiers[fault.tier].endpoints for e in fault.endpoints):
                 raise ValueError(f"faults.{n}.endpoints: tier {fault.tier} has "
                                  f"{self.fleet.tiers[fault.tier].endpoints}")
-            if fault.kind in OF_SIDECARS and self.fleet.membership is None and fault.kind == "wire":
+            if fault.kind == "wire" and self.fleet.membership is None:
                 raise ValueError(f"faults.{n}.kind: a wire is between sidecars that talk: fleet.membership")
             for word in (*fault.from_, *fault.to, *fault.who):
                 if not self._meets(word):
--- a/tests/test_harm.py
+++ b/tests/test_harm.py
@@ -30,7 +30,7 @@
 from cressrail.standin.fleet import Fleet
 from cressrail.standin.harm import drawn
 from cressrail.standin.ledger import rows
-from cressrail.standin.sidecars import Sidecar
+from cressrail.standin.sidecars import Sidecar, Sidecars
 from cressrail.standin.views import agreed, false_losses, known, live_error, views
 from cressrail.standin.wires import Rule, Wires
 from cressrail.standin.words import Fault, Schedule, World
@@ -333,6 +333,16 @@
     assert ran.exit_code in (1, 2) and why in ran.output and ran.output.count("\n") == 1
 
 
+def test_a_sidecar_has_one_process_whatever_faults_overlap(tmp_path: Path) -> None:
+    sidecars = Sidecars(world(1), tmp_path, HERE, "own", "")
+    sidecar = Sidecar("door0", 0, 0, "a", ("127.0.0.9", 9000), ("127.0.0.1", 1))
+    sidecars.start(sidecar, 1, 1)
+    first = sidecar.process
+    sidecars.start(sidecar, 1, 1)
+    assert first is not None and first.poll() is not None and sidecar.process is not first
+    sidecars.close()
+
+
 # The rig's parts
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -444,6 +444,28 @@
     assert answer.to == ("127.0.0.2", 2) and len(answer.data) <= len(question)
 
 
+def test_one_lag_counts_once_however_many_datagrams_waited() -> None:
+    copy = lone()
+    copy.start(0)
+    late = copy.wake_us + copy.settings.period_us // 4
+    for n in range(10):
+        copy.heard(late, ping(n + 1))
+    copy.woke(late)
+    assert copy.awareness.level == 1
+
+
+def test_a_mark_stays_known_to_all_as_long_as_the_cut_lasts() -> None:
+    world = ready(5)
+    world.cut = lambda one, other: (one, other) == ("copy0", "copy1")
+    assert world.until(lambda: all(states(world, n, 0) == "partly" for n in range(5)), 20 * SECOND)
+    one, other = (world.names[f"copy{n}"].copy for n in range(2))
+    for _ in range(300):
+        world.run(world.now + SECOND // 2)
+        assert all(states(world, n, 0) == "partly" for n in range(5))
+        # Told anew well before it fades, and not by chance.
+        assert world.now - one.edges.told[other.id][one.id][1] <= 25 * one.settings.period_us
+
+
 def test_a_loss_that_was_not_timed_here_is_not_believed() -> None:
     copy = lone()
     copy.heard(0, ping(1))
