Cold endpoints get by settings and their zone's load, so that all copies stay in bounds

Cause: ColdRule.credit took the largest of three rates and divided it by the size that the group had at that moment. Summed over copies that is without bound.

Change: two rates, each of which summed over all copies is at most what a warm endpoint bears: what a copy carried for a unit of size of that zone, and an even part of the allowances over the largest list of late; a third of the multiple by each. Credit lapses after the time in which a fall is counted. The highest rate of late is gone.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -1,7 +1,6 @@
 """Every decision cressrail makes for one sidecar. It knows no wire, no clock and no other sidecar.
 
-docs/interface.md tells how to call it. Calls return the decisions taken, as tuples (tx, what, endpoint or
-hop, microseconds). Times are whole microseconds; endpoints, zones and members are small indices.
+docs/interface.md tells how to call it. Calls return decisions: (tx, what, endpoint or hop, microseconds).
 
 The design: retries only of claimed errors inside a budget, zone groups with the own zone first, two random
 choices by own hops in flight. Mechanisms beside it (six at most):
@@ -10,8 +9,7 @@
   3. members' shares                         Shares
   4. a part of each zone for each copy       Group.choose
   5. nothing to a process that is gone       Endpoint.dead_us; told by `died`, on sockets only
-Beside each client process (many copies, each with little traffic) the first is a part of a zone's
-transactions instead, Group.admits, the second is not used, and a part goes by the copy's own rate.
+Beside each client process the first is a part of a zone's transactions, Group.admits, and there is no line.
 """
 
 from __future__ import annotations
@@ -38,7 +36,8 @@
 CUT_SHARE = 0.75  # what is left of a limit that is cut
 DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
-MOST_FORGOTTEN = 4  # times to be warm, in which the highest rate of late is forgotten
+MOST_FORGOTTEN = 4  # times to be warm, in which the largest list of late is forgotten
+COLD_PARTS = 3  # of the multiple at which a cold endpoint falls: what is carried, even parts, the own zone's
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
 FIRST_LIMIT = 6.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
@@ -162,6 +161,7 @@
         self.failing = False  # more than half of them
         self.admits = 0.0  # part of transactions admitted, times what is open to each; 0: unknown
         self.hops, self.hops_per_s = 0, 0.0  # sent this second, and a mean of the last few
+        self.each, self.each_us = 0.0, 0  # hops committed for a unit of size, decaying as `carried`
 
     def choose(self, now: int) -> None:
         """To be called where an endpoint comes, goes, fails or recovers, and now and then: from this copy's
@@ -257,41 +257,45 @@
 
 
 class ColdRule:
-    """This copy's part of the work that a starting endpoint may get: what a warm one of its group gets from
-    here, times the share of capacity it has surely regained. Credit never runs ahead by more than one hop."""
+    """This copy's part of the work that a starting endpoint may get. Summed over all copies, however many,
+    uneven or young, neither what they carried for a unit of size of its zone nor even parts of the members'
+    allowances, which the largest list of late bears, is more than a warm one does; a third of the multiple
+    goes by each. Credit not used while a fall is counted lapses. docs/design.md has the arithmetic."""
 
-    def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float = 0.0) -> None:
-        self.even = self.most_even = even  # an even part of what all members may send, a microsecond
+    def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float, multiple: float,
+                 fall_us: int) -> None:
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
-        self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
-        self.most = 0.0  # the highest rate of these of late, a microsecond
+        # Without members one in the time to be warm. Guards against copies that begin amid a cold fleet.
+        self.even = self.most_even = even or 1 / warm_within_us  # of what all may send, a microsecond
+        self.by_even, self.fall_us = multiple / COLD_PARTS, fall_us
+        self.by_carried = min(1.0, self.by_even * (1 if even else 2))
         self.ceded = False  # to another process of this sidecar
+        self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
+        self.full, self.full_us = 0.0, 0  # the largest list of late, by size
 
-    def carry(self, now: int) -> None:
-        gone = (now - self.carried_us) / self.warm_within_us
-        self.carried = self.carried * max(0.0, 1 - gone) + 1
-        self.carried_us = now
-        self.most = max(self.carried / self.span(now), self.most * max(0.0, 1 - gone / MOST_FORGOTTEN))
+    def left(self, since_us: int, now: int, times: int = 1) -> float:
+        return max(0.0, 1 - (now - since_us) / self.warm_within_us / times)
 
-    def span(self, now: int) -> int:
-        """In which `carried` was carried. Guards against a rate made of the first moments."""
-        return min(self.warm_within_us, max(self.warm_within_us // 8, now - self.born_us))
+    def carry(self, now: int, group: Group) -> None:
+        self.carried = self.carried * self.left(self.carried_us, now) + 1
+        group.each = group.each * self.left(group.each_us, now) + 1 / (group.size or 1.0)
+        self.carried_us = group.each_us = now
 
     def cold(self, e: Endpoint, now: int) -> bool:
         return e.started_us > 0 and now < e.started_us + self.warm_within_us
 
-    def credit(self, e: Endpoint, now: int, part: float) -> bool:
+    def credit(self, e: Endpoint, now: int, group: Group, own: bool) -> bool:
         age = max(0, now - e.started_us) / self.warm_within_us
-        share = self.cold_from + (1 - self.cold_from) * age
-        # Guards against a copy that restarts amid a fleet of cold endpoints and has carried nothing to go by.
-        span = max(1, min(self.warm_within_us, now - self.born_us))
-        # Guards against a fleet cold for the most part: what is carried shrinks for that, and by it what cold
-        # endpoints get, again and again. And against copies that began amid it.
-        rate = max(max(1.0, self.carried) / span, self.most, self.even) * part * share
+        work = e.scale * (self.cold_from + (1 - self.cold_from) * age)
+        span = min(self.warm_within_us, max(self.warm_within_us // 8, group.each_us - self.born_us))
+        carried = work * self.by_carried * group.each * self.left(group.each_us, now) / span
+        # Guards against a fleet cold for the most part, which by what it carries would get less and less.
+        part = min(1.0, (1 + own) * group.whole / self.full) / group.size
+        rate = carried + work * self.by_even * self.even * part
         if e.others >= 0:  # Guards against the least of many, and against lies: what is carried stays.
-            rate = max(self.carried / span * part * share, min(rate, e.warm * share - e.others))
-        e.cold_credit = min(1.0, e.cold_credit + rate * (now - e.cold_us))
-        e.cold_us = now
+            rate = max(carried, min(rate, e.warm * work / e.scale - e.others))
+        have = e.cold_credit + rate * (now - e.cold_us)
+        e.cold_credit, e.cold_us = have % (1 + rate * self.fall_us), now
         return e.cold_credit >= 1.0 and not self.ceded
 
 
@@ -317,13 +321,11 @@
             # Guards against a large member that fills what is left of a choked tier with its whole allowance:
             # where those within their share are turned away, shares fill up by what is sent, not by time.
             run = min(run, int(self.sends / self.total))
-        self.clock_us += run
-        self.seen_us, self.sends = now, 0
+        self.clock_us, self.seen_us, self.sends = self.clock_us + run, now, 0
         if not 0 <= member < len(self.rates):
             return False
         have = self.credit[member] + self.rates[member] * (self.clock_us - self.filled_us[member])
-        self.filled_us[member] = self.clock_us
-        self.credit[member] = min(self.most[member], have)
+        self.credit[member], self.filled_us[member] = min(self.most[member], have), self.clock_us
         return have < 1
 
     def sent(self, member: int, surplus: bool) -> None:
@@ -374,11 +376,12 @@
 
     def __init__(self, side: Sidecar, profile: Profile, member: int, now: int, remaining_us: int) -> None:
         self.side, self.member, self.profile = side, member, profile
-        self.end_us, self.closed, self.spent = 0, False, False  # spent: what would be sent again is gone
+        self.end_us = self.anchor_us = 0
+        self.closed = self.spent = False  # spent: what would be sent again is gone
         self.out: dict[int, int] = {}  # hop number -> sent
         self.coming = remaining_us < 0  # its client still sends it, and no endpoint is at work on it
         self.run(now, NEVER_US if self.coming else remaining_us)
-        self.anchor: Endpoint | None = None  # of the first hop that may have run
+        self.anchor: Endpoint | None = None  # of the first hop that may have run, sent at anchor_us
         # Guards against endpoints at work on what no longer earns, where it may be rolled back in good time.
         if side.beside and not profile.overdue and side.repeat_rule.may_roll_back(self, ran=True):
             goal_us = profile.service_goal_us
@@ -389,7 +392,6 @@
         self.part = OPEN_PART + (1 - OPEN_PART) * earns if side.at_door else 1.0  # of limits, open to it
         self.luck = side.chance.part()
         self.hops: list[Endpoint] = []
-        self.anchor_us: int = 0
 
     def route(self, now: int) -> list[Decision]:
         return self.side.route(self, now)
@@ -438,13 +440,11 @@
         self.start = number * 2654435769 & (1 << 32) - 1  # the golden ratio spreads any run of copies evenly
         self.budget, self.surge = RetryBudget(), 1.0
         self.line: list[Tx] = []  # best earners first
-        self.line_due_us = now  # the first leaves it then, if not before
+        self.line_due_us = self.spill_us = self.wake_us = now  # the first leaves the line then, if not before
         self.hear_shares((), 0.0)
         self.spill, self.next_zone = 0.0, -1  # the group with the lowest latency after the own
-        self.spill_us = now
         self.due_us: dict[tuple[Tx, int], int] = {}  # hops out, and when they are overdue; beside only
         asking.born(now)
-        self.wake_us = now
 
     # What is told
 
@@ -474,8 +474,7 @@
             if e.on:
                 zoned[e.zone].append(e)
         old, self.groups = self.groups, [Group(z, self.start, 0) for z in zoned]
-        if self.beside:
-            self._carry_over(old)
+        self._carry_over(now, old)
         self._share_out()
         for group in self.groups:
             for e in group.all:
@@ -483,11 +482,11 @@
             group.choose(now)
 
     def hear_copies(self, now: int, copies: float, near: float) -> None:
-        """So many are up, so many of them in the own zone. What all together may have out stays."""
+        """So many are up, and so many in the own zone. What all together may have out stays."""
         self.copies, self.near = copies, near
         self.shares.part_of(copies)
         # Guards against too few counted, by whatever fault, that push cold endpoints over.
-        self.cold_rule.even = min(self.cold_rule.most_even, self.shares.total)
+        self.cold_rule.even = min(self.cold_rule.most_even, self.shares.total or 1.0)
         before = [group.sharers for group in self.groups]
         self._share_out()
         for group, sharers in zip(self.groups, before, strict=True):
@@ -528,12 +527,15 @@
                 total if own else len(group.all), self.copies)
             group.sharers = copies * group.wanted / max(1, among)
 
-    def _carry_over(self, old: list[Group]) -> None:
+    def _carry_over(self, now: int, old: list[Group]) -> None:
         """What was learned of each zone. A zone begins with what its endpoints carry of an even load. Guards
         against all that comes up in a zone with few of them starting there."""
         total = sum(group.whole for group in self.groups)
+        rule = self.cold_rule  # Guards against the first of a zone that comes in pieces standing for it all.
+        rule.full, rule.full_us = max(total, rule.full * rule.left(rule.full_us, now, MOST_FORGOTTEN)), now
         for group, was in zip(self.groups, old, strict=False):
             group.admits, group.hops, group.hops_per_s = was.admits, was.hops, was.hops_per_s
+            group.each, group.each_us = was.each, was.each_us
         for group in self.groups:
             even = group.whole * len(self.groups) / max(1e-9, total)
             group.admits = group.admits or min(ADMIT_MOST, even)
@@ -549,8 +551,7 @@
         return [e.ix for e in self.endpoints.values() if not e.on or not e.succeeds(now)]
 
     def cede(self, ceded: bool) -> None:
-        """Another process of this sidecar has (or has no more) what only one may use: retries, cold starts.
-        Guards against both together retrying, or filling what is cold, for two."""
+        """Another process of this sidecar has, or no more, what only one may use: retries, cold starts."""
         self.cold_rule.ceded = self.budget.ceded = ceded
 
     def forget(self, ix: int) -> None:
@@ -605,7 +606,7 @@
         if self.beside or tx.surplus or self._wait_ahead(tx) > tx.profile.service_goal_us // LINE_PARTS:
             return self._give_up(tx)
         # Guards against a low earner at the head, to whom little is open, holding up all behind it.
-        insort(self.line, tx, key=_by_part)
+        insort(self.line, tx, key=lambda t: -t.part)
         self.line_due_us = min(self.line_due_us, tx.leave_us) if len(self.line) > 1 else tx.leave_us
         self.wake_us = min(self.wake_us, now + 4 * self.round_us, tx.leave_us)
         return []
@@ -659,7 +660,7 @@
 
     def _hop(self, tx: Tx, e: Endpoint, now: int) -> Decision:
         if self.cold_rule.cold(e, now):
-            e.cold_credit -= 1
+            e.cold_credit = 0.0
             e.cold_hops += 1
         if not tx.hops:
             self.shares.sent(tx.member, tx.surplus)
@@ -716,9 +717,8 @@
         return order[:1] + sorted(order[1:], key=luck)
 
     def _pick_in(self, group: Group, tx: Tx, now: int) -> Endpoint | None:
-        # A copy with nothing out may send one. Guards against that floor for each zone of many copies, which
-        # alone crowds endpoints. Of a part between whole hops, what is above is open to so many of the
-        # transactions, by their luck: else where limits are thin surplus has as much of them as any.
+        # A copy with nothing out may send one; one for each zone would crowd endpoints. Of a part between
+        # whole hops, what is above is open to so many transactions: else surplus has as much of thin limits.
         limit = group.limit if any(g.in_flight for g in self.groups) else max(1.0, group.limit)
         if not group.use or (not self.beside and group.in_flight + 1 > tx.part * limit + tx.luck):
             return None
@@ -738,18 +738,20 @@
         for k in range(DRAWS + n):
             at = self.chance.below(n) if k < DRAWS else (at + 1) % n
             e = among[at]
-            if e is not but and self._open(e, group.size, tx, now):
+            if e is not but and self._open(e, group, tx, now):
                 return e
         return None
 
-    def _open(self, e: Endpoint, size: float, tx: Tx, now: int) -> bool:
+    def _open(self, e: Endpoint, group: Group, tx: Tx, now: int) -> bool:
         if e in tx.hops or now < e.dead_us:
             return False
         if not self.beside and e.in_flight >= max(1.0, e.limit * tx.part):
             return False
         if tx.anchor is not None and not self.repeat_rule.may_go_to(tx, e):
             return False
-        return not self.cold_rule.cold(e, now) or self.cold_rule.credit(e, now, e.scale / size)
+        # Only in the part in use. Guards against repeats of all copies where a part of them is to bear them.
+        return not self.cold_rule.cold(e, now) or (e.inside and self.cold_rule.credit(
+            e, now, group, e.zone == self.order[0]))
 
     # What is learned
 
@@ -785,7 +787,7 @@
         lost = how is Outcome.TIMED_OUT and e.prompt_us > now - latency_us
         crowded = (took > self.late and not lost) or how is Outcome.TURNED_AWAY or below
         if how is Outcome.COMMITTED:
-            self.cold_rule.carry(now)
+            self.cold_rule.carry(now, group)
             self._learn_usual(now, took)
             e.latency += (took - e.latency) / MEMORY if e.latency else took
             if not crowded:
@@ -820,7 +822,7 @@
             other.limit = limit
 
     def _learn_usual(self, now: int, took: float) -> None:
-        """Crowding shows against the lowest mean of late: work that varies more needs a wider margin."""
+        """Crowding shows against the lowest mean of late."""
         self.heard += 1
         weight = 1 / min(self.heard, USUAL_MEMORY)
         self.mean += (took - self.mean) * weight
@@ -851,7 +853,7 @@
             self.spill = max(0.0, self.spill - SPILL_STEP)
 
     def _wait_ahead(self, tx: Tx) -> float:
-        ahead = bisect_right(self.line, -tx.part, key=_by_part)
+        ahead = bisect_right(self.line, -tx.part, key=lambda t: -t.part)
         return ahead * self.cold_rule.warm_within_us / max(1.0, self.cold_rule.carried)
 
     def _serve_line(self, now: int) -> list[Decision]:
@@ -869,7 +871,3 @@
             self.line.pop(0)
             decided += [self._hop(tx, e, now)] if e else []
         return decided
-
-
-def _by_part(tx: Tx) -> float:
-    return -tx.part
--- a/cressrail/handover/estate.py
+++ b/cressrail/handover/estate.py
@@ -78,7 +78,8 @@
     sidecar.budget.taken, sidecar.budget.retried = deque(taken), deque(retried)
     rule = sidecar.cold_rule
     rule.born_us, rule.carried, rule.carried_us = cold
-    rule.most = rule.carried / rule.span(now)
+    own = sidecar.groups[sidecar.order[0]]
+    own.each, own.each_us = rule.carried / max(1e-9, own.size), rule.carried_us
     of = sidecar.shares
     if len(shares[0]) == len(of.credit):
         of.credit, of.filled_us = shares[0], shares[1]
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -21,6 +21,7 @@
 from cressrail.outfit.shape import beside
 from cressrail.outfit.told import Told, Unfit
 
+SECOND_US = 1_000_000
 KINDS = {"safe": IDEMPOTENT, "keyed": JOURNALLED, "unsafe": NON_IDEMPOTENT}
 GROUPS = {"all": ALL, "zone": ZONE, "cell": CELL}
 
@@ -83,7 +84,8 @@
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
-                           now, shares.total),
+                           now, shares.total, told.real("contract.fall_multiple", 0, 1e6, absent=1.0),
+                           told.whole("contract.fall_us", 1, absent=SECOND_US)),
         shares=shares,
         copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
         beside=beside(told))
