Long lists: news cost what changed, endpoints in use go by connections, walks end

Seen, in the module alone, 4 zones, 33 copies, at 12, 200, 1,024, 2,000 and 3,000 endpoints: one changed entry cost 0.05, 0.33, 1.2, 2.6 and 5.9 ms, as all groups were built anew; a transaction amid full endpoints 0.15, 0.25, 1.0, 2.1 and 2.9 ms, as each zone was walked whole. With 84 connections for 1,024 endpoints each hop closed one idle connection and opened another.

Change: only zones of which something is told are built; a walk ends after 64 (repeats, a tenth, still go through all, as they may be bound to few); a zone's part in use is at most a quarter of the connections that the sidecar may hold. The rig takes 2,048 endpoints and 700 doors, the play of failover 2,048 copies.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -39,6 +39,7 @@
 MOST_FORGOTTEN = 4  # times to be warm, in which the largest list of late is forgotten
 COLD_PARTS = 3  # of the multiple at which a cold endpoint falls: what is carried, even parts, the own zone's
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
+LINKS_EACH = 4  # connections that there must be room for, to each endpoint of a zone in use
 FIRST_LIMIT = 6.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
 OPEN_PART = 0.5  # of a limit is open to all; the rest opens with what a transaction earns over the best
 LINE_PARTS = 4  # a transaction waits for at most one such part of its service goal
@@ -151,12 +152,9 @@
     """The endpoints of one zone, and the part of them in use, with sums kept as they change. Guards against
     work that grows with the fleet at every transaction: nothing here is walked on the way of one."""
 
-    def __init__(self, all_of_it: list[Endpoint], start: int, wanted: int) -> None:
-        self.all = sorted(all_of_it, key=lambda e: e.place)
-        self.whole = sum(e.scale for e in self.all)
-        self.start = start * len(self.all) >> 32
-        self.wanted = min(wanted, len(self.all))
-        self.use: list[Endpoint] = []
+    def __init__(self) -> None:
+        self.all, self.use = list[Endpoint](), list[Endpoint]()
+        self.whole, self.start, self.wanted = 0.0, 0, 0
         self.sharers = 1.0  # copies that use an endpoint of it, by this copy's guess
         self.size, self.limit, self.in_flight, self.failed = 0.0, 0.0, 0, 0  # sums over those in use
         self.failing = False  # more than half of them
@@ -164,6 +162,13 @@
         self.hops, self.hops_per_s = 0, 0.0  # sent this second, and a mean of the last few
         self.each, self.each_us = 0.0, 0  # hops committed for a unit of size, decaying as `carried`
 
+    def fill(self, all_of_it: list[Endpoint], start: int) -> None:
+        for e in self.use:  # also of those that have left: their hops still end
+            e.inside = False
+        self.all, self.use = sorted(all_of_it, key=lambda e: e.place), []
+        self.whole = sum(e.scale for e in self.all)
+        self.start = start * len(self.all) >> 32
+
     def choose(self, now: int) -> None:
         """To be called where an endpoint comes, goes, fails or recovers, and now and then: from this copy's
         start along the ring, so many as are wanted of those that succeed."""
@@ -425,13 +430,14 @@
     def __init__(self, *, chance: Chance, zone: int, zones: int, tiers_to_go: float, last_tier: bool,
                  at_door: bool, round_us: int, come_back_us: int,
                  may_cancel: bool, asking: Asking, repeat_rule: RepeatRule, cold_rule: ColdRule,
-                 shares: Shares, copies: int, number: int, now: int, beside: bool = False) -> None:
-        self.beside = beside  # one client process, many copies
+                 shares: Shares, copies: int, number: int, now: int, beside: bool = False,
+                 links: int = NEVER_US) -> None:
+        self.beside, self.links = beside, links  # one client process, many copies; connections it may hold
         self.chance = chance
         self.copies: float = copies  # of this sidecar, by the settings until told of those that are up
         self.near = 0.0  # of them in the own zone; 0: not told, so by the zone's part of the endpoints
         self.order = [(zone + k) % zones for k in range(zones)]
-        self.groups = [Group([], 0, 0) for _ in range(zones)]
+        self.groups = [Group() for _ in range(zones)]
         self.endpoints: dict[int, Endpoint] = {}
         self.late = min(LATE_MOST, LATE_SHARE * tiers_to_go)  # in service goals; a slower hop is late
         self.mean = self.swing = self.usual = 0.0  # latency, its mean swing over itself, lowest mean of late
@@ -453,7 +459,7 @@
     def hear_list(self, now: int, entries: Iterable[Entry], full: bool, answer: bool = True) -> None:
         if answer:  # Guards against taking the stale list of a start for one: drains go unheard.
             self.asking.heard(now, False)
-        named = []
+        named, filled = [], dict.fromkeys(self.order if full else ())
         for ix, zone, cell, scale, on, started_us, place in entries:
             e = self.endpoints.get(ix)
             if e is None or e.started_us != started_us:  # a restart keeps the id and nothing else
@@ -462,25 +468,23 @@
                 e.started_us, e.latency, e.good, e.limit, e.dead_us = started_us, 0.0, 1.0, 0.0, 0
                 # Guards against all copies spending a first hop at once on a start they all hear of.
                 e.in_flight, e.cold_credit, e.cold_us, e.missed = flying, self.chance.part(), now, 0
+            filled[e.zone] = filled[zone] = None  # only zones of which something is told are gone through
             e.zone, e.cell, e.scale, e.on, e.place = zone, cell, max(scale, 1e-9), on, place
             if zone not in self.order:
                 self.order.append(zone)
-            named.append(ix)
-        if full:
-            kept = dict.fromkeys(named)
-            for e in self.endpoints.values():
-                e.on = e.on and e.ix in kept
-        zoned: list[list[Endpoint]] = [[] for _ in self.order]
-        for e in self.endpoints.values():
-            e.inside = False  # also for those that have left: their hops still end
-            if e.on:
-                zoned[e.zone].append(e)
-        old, self.groups = self.groups, [Group(z, self.start, 0) for z in zoned]
-        self._carry_over(now, old)
+            named.append(e)
+        self.groups += [Group() for _ in self.order[len(self.groups):]]
+        kept = dict.fromkeys(named)
+        for e in self.endpoints.values() if full else ():
+            e.on = e.on and e in kept
+        for zone in filled:
+            found = self.endpoints.values() if full else dict.fromkeys([*self.groups[zone].all, *named])
+            self.groups[zone].fill([e for e in found if e.on and e.zone == zone], self.start)
+        self._begin_zones(now)
         self._share_out()
+        for e in [e for e in named if e.on]:
+            e.limit = e.limit or FIRST_LIMIT / self.groups[e.zone].sharers
         for group in self.groups:
-            for e in group.all:
-                e.limit = e.limit or FIRST_LIMIT / group.sharers
             group.choose(now)
 
     def hear_copies(self, now: int, copies: float, near: float) -> None:
@@ -518,7 +522,7 @@
         """How many endpoints of each zone are used, and by how many copies."""
         total = sum(len(group.all) for group in self.groups)
         # So many that this copy's part of the first limits is one hop each, if all keep to their own zone.
-        wanted = max(LEAST_PART, -int(-FIRST_LIMIT * total // self.copies))
+        wanted = max(LEAST_PART, min(self.links // LINKS_EACH, -int(-FIRST_LIMIT * total // self.copies)))
         for zone, group in enumerate(self.groups):
             if not self.beside:
                 group.wanted = min(wanted, len(group.all))
@@ -529,14 +533,11 @@
                 total if own else len(group.all), self.copies)
             group.sharers = copies * group.wanted / max(1, among)
 
-    def _carry_over(self, now: int, old: list[Group]) -> None:
-        """What was learned of each zone; it begins by an even load. Guards against crowds in a small one."""
+    def _begin_zones(self, now: int) -> None:
+        """Each by an even load. Guards against all that comes up in a zone of few starting there."""
         total = sum(group.whole for group in self.groups)
         rule = self.cold_rule  # Guards against the first of a zone that comes in pieces standing for it all.
         rule.full, rule.full_us = max(total, rule.full * rule.left(rule.full_us, now, MOST_FORGOTTEN)), now
-        for group, was in zip(self.groups, old, strict=False):
-            group.admits, group.hops, group.hops_per_s = was.admits, was.hops, was.hops_per_s
-            group.each, group.each_us = was.each, was.each_us
         for group in self.groups:
             even = group.whole * len(self.groups) / max(1e-9, total)
             group.admits = group.admits or min(ADMIT_MOST, even)
@@ -735,7 +736,7 @@
         """One of those open to the transaction, at random: by a few draws; if none meets, the next one on."""
         among = group.use if tx.anchor is None else group.all  # a repeat may be bound to a few of them
         n, at = len(among), 0
-        for k in range(DRAWS + n):
+        for k in range(DRAWS + (n if tx.anchor else min(n, DRAWS**2))):  # repeats, a few, may be bound
             at = self.chance.below(n) if k < DRAWS else (at + 1) % n
             e = among[at]
             if e is not but and self._open(e, group, tx, now):
--- a/cressrail/failover/world.py
+++ b/cressrail/failover/world.py
@@ -48,7 +48,7 @@
     region: str = ""
     bears: float = Field(100.0, ge=0)  # a second, when warm
     demand: float = Field(50.0, ge=0)
-    copies: int = Field(4, ge=0, le=200)
+    copies: int = Field(4, ge=0, le=2048)
 
 
 class FaultWords(Strict):
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -7,6 +7,7 @@
     CELL,
     IDEMPOTENT,
     JOURNALLED,
+    NEVER_US,
     NON_IDEMPOTENT,
     ZONE,
     Asking,
@@ -65,7 +66,8 @@
     return profiles(told), allowances
 
 
-def sidecar(told: Told, seed: int, now: int, zones: list[str], allowances: list[float]) -> Sidecar:
+def sidecar(told: Told, seed: int, now: int, zones: list[str], allowances: list[float],
+            links: int = NEVER_US) -> Sidecar:
     if told.word("zone") not in zones:
         raise Unfit(f"zone is not one of dcs: {told.word('zone')[:40]}")
     tiers, stage = told.names("tiers"), told.whole("stage", 0)
@@ -88,4 +90,4 @@
                            told.whole("contract.fall_us", 1, absent=SECOND_US)),
         shares=shares,
         copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
-        beside=beside(told))
+        beside=beside(told), links=links)
--- a/cressrail/sockets/serve.py
+++ b/cressrail/sockets/serve.py
@@ -50,10 +50,12 @@
     members = parts.members(start.told)
     roster = Roster(start.told.names("dcs"))
     now = clock.now()
-    sidecar = parts.sidecar(start.told, start.seed, now, list(roster.zones), list(members.values()))
     aside = (ops.DESCRIPTORS + heir.DESCRIPTORS if start.ops else 0) + (start.membership is not None)
+    rooms = room(start.sockets, aside)
+    sidecar = parts.sidecar(start.told, start.seed, now, list(roster.zones), list(members.values()),
+                            rooms.links)
     reducer = Reducer(sidecar, profiles, {member: n for n, member in enumerate(members)}, roster,
-                      room(start.sockets, aside), Chance(start.seed ^ 1), now,
+                      rooms, Chance(start.seed ^ 1), now,
                       longest_us := max(p.hard_limit_us for p in profiles.values()), start.discovery)
     pool = Pool(int(start.memory_mb * BUFFERS_SHARE * (1 << 20)) // SIZE)
     connect_us, idle_us = parts.waits(start.told)
--- a/cressrail/standin/fleet.py
+++ b/cressrail/standin/fleet.py
@@ -22,7 +22,7 @@
 
 SIDECAR_PORT = 9000
 LOOKS_A_S = 100  # at views, over all sidecars
-LAST = 500  # numbers of addresses from here down are nobody's
+LAST = 760  # numbers of addresses from here down are nobody's
 SPENT_EVERY_S = 20.0  # between two looks at processor time and bytes
 CELLS = 2  # groups that keep a journal together, in each zone
 
@@ -31,7 +31,7 @@
     """An address of its own for each listener whose port must be known ahead; apart from those of other
     runs."""
     run = os.getpid() % (64 * 256)
-    return f"127.{64 + run // 256 + 64 * (number // 254 % 2)}.{run % 256}.{number % 254 + 1}"
+    return f"127.{64 + run // 256 + 64 * (number // 254 % 3)}.{run % 256}.{number % 254 + 1}"
 
 
 class Fleet:
--- a/cressrail/standin/words.py
+++ b/cressrail/standin/words.py
@@ -36,7 +36,7 @@
 
 class Tier(Strict):
     name: str
-    endpoints: int = Field(4, ge=1, le=200)
+    endpoints: int = Field(4, ge=1, le=2048)
     cores: float = Field(2.0, gt=0)
     slots: int = Field(32, ge=1)
     room: int = Field(16, ge=0)  # waits beyond the slots; the rest is turned away
@@ -77,7 +77,7 @@
 
 class Fleet(Strict):
     zones: list[str] = Field(["a", "b"], min_length=1, max_length=8)
-    doors: int = Field(2, ge=1, le=400)  # sidecars before the first tier
+    doors: int = Field(2, ge=1, le=700)  # sidecars before the first tier
     tiers: list[Tier] = Field(min_length=1, max_length=4)
     contract: Contract = Contract()
     # paths in a sidecar's configuration, and what they are
