Cold endpoints without members' shares: an even part of what a copy carries everywhere

The cause: the site has no members, so nothing but what was carried at a zone counted, which is forgotten while the zone is lost for 10 to 22 s of the 24 that it takes to be warm.

Change: where there are no allowances, the even part is one of what the copy carries everywhere, whose sum over copies the whole list carries. Each rate counts by a third of the multiple and by no more than one. A multiple below 0.1 is refused.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -264,17 +264,15 @@
 
 class ColdRule:
     """This copy's part of the work that a starting endpoint may get. Summed over all copies, however many,
-    uneven or young, neither what they carried for a unit of size of its zone nor even parts of the members'
-    allowances, which the largest list of late bears, is more than a warm one does; a third of the multiple
-    goes by each. Credit not used while a fall is counted lapses. docs/design.md has the arithmetic."""
+    uneven or young, neither what they carried for a unit of size of its zone nor even parts of what the whole
+    list bears (the members' allowances, or what is carried) is more than a warm one does; a third of the
+    multiple goes by each. Credit not used while a fall is counted lapses. docs/design.md does the sums."""
 
     def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float, multiple: float,
                  fall_us: int) -> None:
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
-        # Without members one in the time to be warm. Guards against copies that begin amid a cold fleet.
-        self.even = self.most_even = even or 1 / warm_within_us  # of what all may send, a microsecond
-        self.by_even, self.fall_us = multiple / COLD_PARTS, fall_us
-        self.by_carried = min(1.0, self.by_even * (1 if even else 2))
+        self.even = self.most_even = even  # of what all may send, a microsecond; 0: there are no members
+        self.by, self.fall_us = min(1.0, multiple / COLD_PARTS), fall_us
         self.ceded = False  # to another process of this sidecar
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
         self.full, self.full_us = 0.0, 0  # the largest list of late, by size
@@ -287,20 +285,23 @@
         group.each = group.each * self.left(group.each_us, now) + 1 / (group.size or 1.0)
         self.carried_us = group.each_us = now
 
+    def span(self, until_us: int) -> int:
+        """In which hops were carried. Guards against a rate made of the first moments."""
+        return min(self.warm_within_us, max(self.warm_within_us // 8, until_us - self.born_us))
+
     def cold(self, e: Endpoint, now: int) -> bool:
         return e.missed > 0 or (e.started_us > 0 and now < e.started_us + self.warm_within_us)
 
     def credit(self, e: Endpoint, now: int, group: Group, own: bool) -> bool:
         # Guards against all that waits for one that was lost reaching it before any list tells of its start.
         age = 0.0 if e.missed else max(0, now - e.started_us) / self.warm_within_us
-        work = e.scale * (self.cold_from + (1 - self.cold_from) * age)
-        span = min(self.warm_within_us, max(self.warm_within_us // 8, group.each_us - self.born_us))
-        carried = work * self.by_carried * group.each * self.left(group.each_us, now) / span
+        work = e.scale * self.by * (self.cold_from + (1 - self.cold_from) * age)
+        carried = work * group.each * self.left(group.each_us, now) / self.span(group.each_us)
         # Guards against a fleet cold for the most part, which by what it carries would get less and less.
         part = min(1.0, (1 + own) * group.whole / self.full) / group.size
-        rate = carried + work * self.by_even * self.even * part
+        rate = carried + work * (self.even or max(1.0, self.carried) / self.span(now)) * part
         if e.others >= 0:  # Guards against the least of many, and against lies: what is carried stays.
-            rate = max(carried, min(rate, e.warm * work / e.scale - e.others))
+            rate = max(carried, min(rate, e.warm * work / e.scale / self.by - e.others))
         have = e.cold_credit + rate * (now - e.cold_us)
         e.cold_credit, e.cold_us = have % (1 + rate * self.fall_us), now
         return e.cold_credit >= 1.0 and not self.ceded
@@ -492,7 +493,7 @@
         self.copies, self.near = copies, near
         self.shares.part_of(copies)
         # Guards against too few counted, by whatever fault, that push cold endpoints over.
-        self.cold_rule.even = min(self.cold_rule.most_even, self.shares.total or 1.0)
+        self.cold_rule.even = min(self.cold_rule.most_even, self.shares.total)
         before = [group.sharers for group in self.groups]
         self._share_out()
         for group, sharers in zip(self.groups, before, strict=True):
--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -86,7 +86,7 @@
         asking=Asking(subscribes, told.whole("contract.ask_every_us", 1) if subscribes else 0, chance),
         repeat_rule=RepeatRule(told.whole("limits.most_hops", 1), told.yes("limits.parallel_tries")),
         cold_rule=ColdRule(told.real("contract.cold_from", 0, 1), told.whole("contract.warm_within_us", 1),
-                           now, shares.total, told.real("contract.fall_multiple", 0, 1e6, absent=1.0),
+                           now, shares.total, told.real("contract.fall_multiple", 0.1, 1e6, absent=1.0),
                            told.whole("contract.fall_us", 1, absent=SECOND_US)),
         shares=shares,
         copies=copies, number=told.whole("slot_no", 0, absent=0), now=now,
--- a/tests/test_outfit.py
+++ b/tests/test_outfit.py
@@ -64,6 +64,9 @@
     ("settings.profiles", [], "settings.profiles.count is below 1"),
     ("settings.stage", 7, "settings.stage is not below"),
     ("settings.contract.cold_from", 7, "settings.contract.cold_from is not within 0 and 1"),
+    ("settings.contract.fall_multiple", 0, "settings.contract.fall_multiple is not within 0.1"),
+    ("settings.contract.fall_us", 0, "settings.contract.fall_us is below 1"),
+    ("settings.contract.warm_within_us", 0, "settings.contract.warm_within_us is below 1"),
     ("settings.zone", "nowhere", "settings.zone is not one of dcs: nowhere"),
     ("settings.tiers", None, "settings.tiers is missing"),
     ("settings.limits.conn_idle_us", 0, "settings.limits.conn_idle_us is below 1")])
