Cold endpoints get half of the multiple by each rate, even parts mostly in the own zone

So the cause is how little the cold ones get: each copy that comes back after the kill has carried nothing, and an even part over all zones is little.

Change: each rate counts by half of the multiple, and even parts three times for copies of the zone, half for others: a third of all copies are its own on average. A connection that never came up weighs as two answers, since more hops bring answers sooner.

--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -37,7 +37,8 @@
 DOOR_COPIES = 1.5  # at the door growth slows by copies beyond these, as each sees but its part of late hops
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
 MOST_FORGOTTEN = 4  # times to be warm, in which the largest list of late is forgotten
-COLD_PARTS = 3  # of the multiple at which a cold endpoint falls: what is carried, even parts, the own zone's
+COLD_PARTS = 2  # of the multiple at which a cold endpoint falls: by what is carried, and by even parts
+COLD_OWN, COLD_OTHER = 3.0, 0.5  # times even: for copies of its zone (a third of all, on average), for others
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
 LINKS_EACH = 4  # connections that there must be room for, to each endpoint of a zone in use
 FIRST_LIMIT = 6.0  # of hops in flight at an endpoint from all copies together, cut or grown from there
@@ -139,7 +140,7 @@
     cold_credit: float = 0.0
     cold_us: int = 0
     cold_hops: int = 0  # that it got from here while cold
-    missed: int = 0  # connections that never came up, less answers since: it may be back as another process
+    missed: int = 0  # twice those that never came up, less answers since: it may be back as another process
     others: float = -1.0  # work that other copies give it while cold, a microsecond; below 0: not told
     warm: float = 0.0  # what it would get from all if it were warm
     told_us: int = -2  # when it was left out on the word of others
@@ -265,14 +266,14 @@
 class ColdRule:
     """This copy's part of the work that a starting endpoint may get. Summed over all copies, however many,
     uneven or young, neither what they carried for a unit of size of its zone nor even parts of what the whole
-    list bears (the members' allowances, or what is carried) is more than a warm one does; a third of the
+    list bears (the members' allowances, or what is carried) is more than a warm one does; half of the
     multiple goes by each. Credit not used while a fall is counted lapses. docs/design.md does the sums."""
 
     def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float, multiple: float,
                  fall_us: int) -> None:
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
         self.even = self.most_even = even  # of what all may send, a microsecond; 0: there are no members
-        self.by, self.fall_us = min(1.0, multiple / COLD_PARTS), fall_us
+        self.by, self.fall_us = multiple / COLD_PARTS, fall_us
         self.ceded = False  # to another process of this sidecar
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
         self.full, self.full_us = 0.0, 0  # the largest list of late, by size
@@ -298,7 +299,7 @@
         work = e.scale * self.by * (self.cold_from + (1 - self.cold_from) * age)
         carried = work * group.each * self.left(group.each_us, now) / self.span(group.each_us)
         # Guards against a fleet cold for the most part, which by what it carries would get less and less.
-        part = min(1.0, (1 + own) * group.whole / self.full) / group.size
+        part = min(1.0, (COLD_OWN if own else COLD_OTHER) * group.whole / self.full) / group.size
         rate = carried + work * (self.even or max(1.0, self.carried) / self.span(now)) * part
         if e.others >= 0:  # Guards against the least of many, and against lies: what is carried stays.
             rate = max(carried, min(rate, e.warm * work / e.scale / self.by - e.others))
@@ -535,12 +536,11 @@
             group.sharers = copies * group.wanted / max(1, among)
 
     def _begin_zones(self, now: int) -> None:
-        """Each by an even load. Guards against all that comes up in a zone of few starting there."""
         total = sum(group.whole for group in self.groups)
         rule = self.cold_rule  # Guards against the first of a zone that comes in pieces standing for it all.
         rule.full, rule.full_us = max(total, rule.full * rule.left(rule.full_us, now, MOST_FORGOTTEN)), now
         for group in self.groups:
-            even = group.whole * len(self.groups) / max(1e-9, total)
+            even = group.whole * len(self.groups) / max(1e-9, total)  # not all that comes up in a small zone
             group.admits = group.admits or min(ADMIT_MOST, even)
         self._widen()
 
@@ -772,7 +772,7 @@
     def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int, told: bool) -> None:
         if how in SILENT:
             return
-        e.missed = e.missed + 1 if how is Outcome.UNREACHED else max(0, e.missed - (how is Outcome.COMMITTED))
+        e.missed = e.missed + 2 if how is Outcome.UNREACHED else max(0, e.missed - (how is Outcome.COMMITTED))
         group = self.groups[e.zone]
         was, e.heard_us = e.succeeds(now), now
         took = latency_us / tx.profile.service_goal_us
--- a/cressrail/standin/sidecars.py
+++ b/cressrail/standin/sidecars.py
@@ -101,6 +101,8 @@
             "contract": {
                 "cold_from": world.fleet.contract.cold_from,
                 "warm_within_us": int(world.fleet.contract.warm_ms * 1000),
+                "fall_multiple": world.rules.fall_multiple,
+                "fall_us": int(world.rules.fall_ms * 1000),
             },
         },
     }
