--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -38,6 +38,7 @@
 INNER_GROWTH = 0.25  # of a hop over all copies for a round of answers in time, behind the door
 MOST_FORGOTTEN = 4  # times to be warm, in which the largest list of late is forgotten
 COLD_PARTS = 2  # of the multiple at which a cold endpoint falls: by what is carried, and by even parts
+COLD_READY = 4  # times that in which a fall is counted: so long credit lies ready
 COLD_OWN, COLD_OTHER = 3.0, 0.5  # times even: for copies of its zone (a third of all, on average), for others
 LEAST_PART = 4  # endpoints of a zone that a copy uses at least, while they are ready
 LINKS_EACH = 4  # connections that there must be room for, to each endpoint of a zone in use
@@ -267,14 +268,13 @@
     """This copy's part of the work that a starting endpoint may get. Summed over all copies, however many,
     uneven or young, neither what they carried for a unit of size of its zone nor even parts of what the whole
     list bears (the members' allowances, or what is carried) is more than a warm one does; half of the
-    multiple goes by each. Credit not used while a fall is counted lapses. docs/design.md does the sums."""
+    multiple goes by each. Credit that is not used for some time lapses. docs/design.md does the sums."""
 
     def __init__(self, cold_from: float, warm_within_us: int, now: int, even: float, multiple: float,
                  fall_us: int) -> None:
         self.born_us, self.cold_from, self.warm_within_us = now, cold_from, warm_within_us
         self.even = self.most_even = even  # of what all may send, a microsecond; 0: there are no members
-        self.by, self.fall_us = multiple / COLD_PARTS, fall_us
-        self.ceded = False  # to another process of this sidecar
+        self.by, self.ready_us, self.ceded = multiple / COLD_PARTS, COLD_READY * fall_us, False
         self.carried, self.carried_us = 0.0, 0  # hops committed, decaying over warm_within_us
         self.full, self.full_us = 0.0, 0  # the largest list of late, by size
 
@@ -304,7 +304,7 @@
         if e.others >= 0:  # Guards against the least of many, and against lies: what is carried stays.
             rate = max(carried, min(rate, e.warm * work / e.scale / self.by - e.others))
         have = e.cold_credit + rate * (now - e.cold_us)
-        e.cold_credit, e.cold_us = have % (1 + rate * self.fall_us), now
+        e.cold_credit, e.cold_us = have % (1 + rate * self.ready_us), now
         return e.cold_credit >= 1.0 and not self.ceded
 
 
