--- a/cressrail/brain.py
+++ b/cressrail/brain.py
@@ -138,6 +138,7 @@
     cold_credit: float = 0.0
     cold_us: int = 0
     cold_hops: int = 0  # that it got from here while cold
+    missed: int = 0  # connections that never came up, less answers since: it may be back as another process
     others: float = -1.0  # work that other copies give it while cold, a microsecond; below 0: not told
     warm: float = 0.0  # what it would get from all if it were warm
     told_us: int = -2  # when it was left out on the word of others
@@ -282,10 +283,11 @@
         self.carried_us = group.each_us = now
 
     def cold(self, e: Endpoint, now: int) -> bool:
-        return e.started_us > 0 and now < e.started_us + self.warm_within_us
+        return e.missed > 0 or (e.started_us > 0 and now < e.started_us + self.warm_within_us)
 
     def credit(self, e: Endpoint, now: int, group: Group, own: bool) -> bool:
-        age = max(0, now - e.started_us) / self.warm_within_us
+        # Guards against all that waits for one that was lost reaching it before any list tells of its start.
+        age = 0.0 if e.missed else max(0, now - e.started_us) / self.warm_within_us
         work = e.scale * (self.cold_from + (1 - self.cold_from) * age)
         span = min(self.warm_within_us, max(self.warm_within_us // 8, group.each_us - self.born_us))
         carried = work * self.by_carried * group.each * self.left(group.each_us, now) / span
@@ -459,7 +461,7 @@
                 e = self.endpoints[ix] = e or Endpoint(ix)
                 e.started_us, e.latency, e.good, e.limit, e.dead_us = started_us, 0.0, 1.0, 0.0, 0
                 # Guards against all copies spending a first hop at once on a start they all hear of.
-                e.in_flight, e.cold_credit, e.cold_us = flying, self.chance.part(), now
+                e.in_flight, e.cold_credit, e.cold_us, e.missed = flying, self.chance.part(), now, 0
             e.zone, e.cell, e.scale, e.on, e.place = zone, cell, max(scale, 1e-9), on, place
             if zone not in self.order:
                 self.order.append(zone)
@@ -528,8 +530,7 @@
             group.sharers = copies * group.wanted / max(1, among)
 
     def _carry_over(self, now: int, old: list[Group]) -> None:
-        """What was learned of each zone. A zone begins with what its endpoints carry of an even load. Guards
-        against all that comes up in a zone with few of them starting there."""
+        """What was learned of each zone; it begins by an even load. Guards against crowds in a small one."""
         total = sum(group.whole for group in self.groups)
         rule = self.cold_rule  # Guards against the first of a zone that comes in pieces standing for it all.
         rule.full, rule.full_us = max(total, rule.full * rule.left(rule.full_us, now, MOST_FORGOTTEN)), now
@@ -733,8 +734,7 @@
     def _draw(self, group: Group, tx: Tx, now: int, but: Endpoint | None) -> Endpoint | None:
         """One of those open to the transaction, at random: by a few draws; if none meets, the next one on."""
         among = group.use if tx.anchor is None else group.all  # a repeat may be bound to a few of them
-        n = len(among)
-        at = 0
+        n, at = len(among), 0
         for k in range(DRAWS + n):
             at = self.chance.below(n) if k < DRAWS else (at + 1) % n
             e = among[at]
@@ -770,9 +770,9 @@
     def _judge(self, e: Endpoint, tx: Tx, now: int, how: Outcome, latency_us: int, told: bool) -> None:
         if how in SILENT:
             return
+        e.missed = e.missed + 1 if how is Outcome.UNREACHED else max(0, e.missed - (how is Outcome.COMMITTED))
         group = self.groups[e.zone]
-        was = e.succeeds(now)
-        e.heard_us = now
+        was, e.heard_us = e.succeeds(now), now
         took = latency_us / tx.profile.service_goal_us
         # Guards against an endpoint that hangs, is full and so answers at once: it has nothing in flight.
         failed = how is not Outcome.COMMITTED and (self.beside or how is not Outcome.TURNED_AWAY)
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -16,6 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+import whole
+
 FIGURES = Path(__file__).with_name("regress.toml")
 JOURNAL = Path("journal")
 
@@ -72,6 +74,10 @@
                 raise Unusable(f"{path}: day.{n}.{key} is missing")
     if not isinstance(told.get("margin"), float) or not told.get("day"):
         raise Unusable(f"{path}: margin or day is missing")
+    for n, row in enumerate(told.get("whole", {}).get("days", [])):
+        seeds = row.get("seeds")
+        if not (isinstance(seeds, list) and seeds and all(isinstance(seed, int) for seed in seeds)):
+            raise Unusable(f"{path}: whole.days.{n}.seeds is no list of whole numbers")
     return told
 
 
@@ -102,7 +108,7 @@
             raise Unusable(f"KIT={kit}: no kit there")
         told = figures(FIGURES)
         days = [day for day in told["day"] if day.get("gate") or "--standing" not in words]
-        for day in days:
+        for day in [*days, *([told["whole"]] if "whole" in told else [])]:
             for part in (day["bench"], day["site"]):
                 if not (kit / part).is_file():
                     raise Unusable(f"{kit / part}: not in the kit")
@@ -110,10 +116,13 @@
         print(f"regress: {fault}", file=sys.stderr)
         return 2
     played = [play(kit, day, size) for day in days]
+    days_seen = whole.play(kit, told["whole"], size, JOURNAL) if "whole" in told else []
     print(f"\n{size + ', simulated servers':38} {'recorded':>8} {'now':>8}")
     for one in played:
         print(one.row(told["margin"]))
-    return int(any(one.fell(told["margin"]) for one in played))
+    for seen in days_seen:
+        print(*seen.rows(), sep="\n")
+    return int(any(one.fell(told["margin"]) for one in played) or not all(one.kept for one in days_seen))
 
 
 if __name__ == "__main__":
