Probes no longer decide on a deployment's shape: the other customer's sidecars start

Each log: settings.limits.probes does not go with domain_type chain: false.

Cause: outfit/shape.py, SHAPES, took limits.probes for part of a shape (chain true, mesh false).

Change: what a deployment permits goes with either shape, and must be a yes or a no by its path: five permits checked instead of one.

--- a/cressrail/outfit/shape.py
+++ b/cressrail/outfit/shape.py
@@ -3,7 +3,8 @@
 Where services call services (`domain_type` chain, and wherever it is not told) a pool of sidecars stands
 before each tier. In a mesh each client process has a sidecar of its own before one fleet. The simulator may
 mix them at will, so the module's parts are made of any mixture; a configuration's file that mixes them was
-most likely put together from two, and is refused."""
+most likely put together from two, and is refused. What a deployment permits, probes among it, goes with
+either shape."""
 
 from __future__ import annotations
 
@@ -17,19 +18,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """What the words of a shape imply: the bounds of whole numbers, and yes or no, by path."""
+    """What the words of a shape imply: the bounds of whole numbers, by path."""
 
     name: str
     within: dict[str, tuple[int, int]]
-    stated: dict[str, bool]  # where they are told at all
     needed: tuple[str, ...] = ()
 
 
 SHAPES = {
-    CHAIN: Shape(CHAIN, {"limits.multiplex": (1, 1)}, {"limits.probes": True}),
-    MESH: Shape(MESH, {"limits.multiplex": (2, MOST_STREAMS), "stage": (0, 0)}, {"limits.probes": False},
-                ("limits.multiplex", "limits.probes")),
+    CHAIN: Shape(CHAIN, {"limits.multiplex": (1, 1)}),
+    MESH: Shape(MESH, {"limits.multiplex": (2, MOST_STREAMS), "stage": (0, 0)}, ("limits.multiplex",)),
 }
+PERMITS = tuple(f"limits.{name}" for name in (
+    "probes", "peers", "may_cancel", "parallel_tries", "retry_after"))
 
 
 def beside(told: Told) -> bool:
@@ -51,7 +52,7 @@
     for path, (least, most) in shape.within.items():
         if path in told.pairs and not least <= (value := told.whole(path, 0)) <= most:
             raise Unfit(f"{path} does not go with domain_type {name}: {value}")
-    for path, wanted in shape.stated.items():
-        if path in told.pairs and told.yes(path) is not wanted:
-            raise Unfit(f"{path} does not go with domain_type {name}: {told.pairs[path]}")
+    for path in PERMITS:
+        if path in told.pairs:
+            told.yes(path)
     return shape
