Names beyond ASCII: a request's fields are read as UTF-8, as settings are

Cause: Request.get read fields as latin-1; settings are UTF-8. Ruled out: blanks and commas in a tenant's and a zone's name.

Change: UTF-8, byte by byte where that fails.

--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -43,8 +43,14 @@
         return self.target.partition(b"?")[0]
 
     def get(self, name: bytes) -> str | None:
+        """As UTF-8, in which settings word the same names; what is none goes byte by byte."""
         value = self.fields.first.get(name)
-        return None if value is None else value.decode("latin-1")
+        if value is None:
+            return None
+        try:
+            return value.decode()
+        except UnicodeDecodeError:
+            return value.decode("latin-1")
 
     def onward(self, host: str, remaining_us: int) -> bytes:
         """The head for an endpoint: all that is meant for it, and how long its answer is waited for."""
