--- a/cressrail/outfit/parts.py
+++ b/cressrail/outfit/parts.py
@@ -40,7 +40,7 @@
         group, window_us = ALL, 0
         if kind == JOURNALLED:
             group = told.one_of(at + "key_scope", GROUPS)
-            window_us = told.whole(at + "window_us", 0)
+            window_us = told.whole(at + "window_us", 1)
         found[told.word(at + "name")] = Profile(
             kind, group, window_us,
             told.whole(at + "service_goal_us", 1), told.whole(at + "hard_limit_us", 1), earns[n],
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -696,7 +696,46 @@
     assert loop.failed and len(told) == 8
 
 
-# A stop
+# Clients in a crowd
+
+def test_nothing_is_sent_on_long_after_its_client_left(capsys: pytest.CaptureFixture[str]) -> None:
+    """Clients who leave at every step of their way, in a crowd before one slow endpoint: what is sent on
+    after they left, and how much later. The worst case is printed."""
+    left: dict[bytes, int] = {}
+    late: list[int] = []
+
+    def slow(peer: Peer) -> None:
+        while head := peer.hear():
+            name = head.partition(b"req-id: ")[2].partition(b"\r")[0]
+            if name in left:
+                late.append(peer.loop.now() - left[name])
+            peer.sleep(15_000)
+            peer.say(reply(b"hello"))
+
+    play = Play([slow], connect_timeout_us=500_000)
+    play.reducer.sidecar.endpoints[0].limit = 2.0  # so that most wait in the line
+
+    def client(peer: Peer) -> None:
+        for n in range(120):
+            sock = socket.create_connection(play.at)
+            name = b"leaves%d" % n
+            text = ask("read", Req_Id=name.decode(), Req_Deadline="900m")
+            sock.sendall(text[:-3] if n % 5 == 0 else text)
+            peer.sleep((0, 500, 2_000, 9_000)[n % 4])
+            left[name] = play.loop.now()
+            if n % 3 == 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+        peer.until(lambda: len(play.net.clients) == 1 and not play.reducer.hops)
+
+    play.client(client)
+    play.run()
+    with capsys.disabled():
+        print(f"sent on after its client left: {len(late)} of 120, {max(late, default=0)} us later at most")
+    assert not [us for us in late if us > 300_000] and len(late) <= 30
+
+
+# What tasks are told
 
 def test_clients_and_tasks_are_told_nothing_they_cannot_take() -> None:
     """What the tasks' handling of their mail rests on: who is told what, by the effect's kind."""
--- a/tests/test_outfit.py
+++ b/tests/test_outfit.py
@@ -46,7 +46,7 @@
     assert told.whole("deep.count", 0) == 2
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "\xff", '"x"'])
+@pytest.mark.parametrize("text", ["", "{", "[]", "\xff", '"x"', '{"name": "a\xff"}'])
 def test_a_configuration_that_cannot_be_read_is_named(tmp_path: Path, text: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(text, encoding="latin-1")
@@ -62,6 +62,15 @@
     ("limits.memory_mb", 1, "limits.memory_mb is not within"),
     ("known", {"revision": 1}, "known: no members"),
     ("settings.profiles", [], "settings.profiles.count is below 1"),
+    ("settings.profiles.1.window_us", 0, "settings.profiles.1.window_us is below 1: 0"),
+    ("settings.profiles.1.window_us", -5, "settings.profiles.1.window_us is below 1: -5"),
+    ("settings.profiles.0.hard_limit_us", 0, "settings.profiles.0.hard_limit_us is below 1: 0"),
+    ("settings.profiles.0.service_goal_us", -1, "settings.profiles.0.service_goal_us is below 1: -1"),
+    ("settings.profiles.0.repeat", "often", "settings.profiles.0.repeat is none of safe, keyed, unsafe"),
+    ("settings.profiles.1.key_scope", "town", "settings.profiles.1.key_scope is none of all, zone, cell"),
+    ("settings.profiles.0.name", None, "settings.profiles.0.name is missing"),
+    ("known", [], "known: no members"),
+    ("known", {"revision": 4, "complete": True, "members": {}}, "known: no members"),
     ("settings.stage", 7, "settings.stage is not below"),
     ("settings.contract.cold_from", 7, "settings.contract.cold_from is not within 0 and 1"),
     ("settings.contract.fall_multiple", 0, "settings.contract.fall_multiple is not within 0.1"),
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import copy
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from cressrail.brain import Chance, Outcome
+from cressrail.brain import NON_IDEMPOTENT, Chance, Outcome
 from cressrail.buffers.pool import Chain, Pool
 from cressrail.catalog.news import News, read
 from cressrail.http1.head import Fields
 from cressrail.http1.request import Request
 from cressrail.outfit import parts
 from cressrail.outfit.start import read_config
+from cressrail.traffic import control
 from cressrail.traffic import effects as do
 from cressrail.traffic.effects import Effect
 from cressrail.traffic.reducer import FRESH_US, SILENT_US, Reducer, Room
@@ -450,6 +452,96 @@
     assert len(front.all(do.Leave)) == 1
 
 
+@pytest.mark.parametrize("kind, sent, answer", [
+    ("read", True, 503), ("write", True, 502), ("note", True, 503), ("once", True, 502), ("once", False, 503),
+    ("write", False, 503)])
+def test_all_that_is_taken_has_its_answer_before_a_stop_ends_in_a_kill_and_not_sooner(
+        kind: str, sent: bool, answer: int) -> None:
+    """Limits of three seconds, and a kill 0.7 s and the longest limit, here a second, after the stop."""
+    front = Front(heard=True)
+    if kind == "once":
+        front.reducer.profiles["once"] = replace(front.reducer.profiles["read"], kind=NON_IDEMPOTENT)
+        front.reducer.tally.final["once"] = dict(front.reducer.tally.final["read"])
+    if not sent:  # nowhere to go: it waits in the line
+        front.reducer.sidecar.hear_list(0, [], full=True)
+    front.came(1)
+    front.ask(1, kind)
+    hops = front.all(do.Carry)
+    assert len(hops) == sent
+    front.told = front.reducer.stop(0)
+    if not sent:
+        [tx] = front.reducer.txs
+        tx.leave_us = tx.end_us  # the line would let it go sooner
+        front.reducer.sidecar.line_due_us = tx.end_us
+    for now in (700_000, 1_200_000, 1_499_999):
+        front.told += front.reducer.woke(now)
+    assert not front.all(do.Write) and front.reducer.wake_us == 1_500_000
+    front.told = front.reducer.woke(1_500_000)
+    [write] = front.all(do.Write)
+    assert (write.client, write.answer.status, write.last) == (1, answer, True)
+    assert front.all(do.CallOff) == [do.CallOff(hop.link, hop.hop) for hop in hops]
+    for hop in hops:  # what comes after it changes nothing
+        front.end(hop, Outcome.COMMITTED, now=1_600_000)
+    assert not front.all(do.Write)
+    front.told += front.reducer.written(1_600_000, 1) + front.reducer.client_left(1_600_000, 1)
+    front.settle()
+    assert front.all(do.Leave) and front.pool.lent == 0 and not front.reducer.txs
+
+
+def _calls() -> dict[str, Any]:
+    return {"stop": lambda front, now: front.reducer.stop(now),
+            "sighup": lambda front, now: front.reducer.discovery_moved(now, ("127.0.0.1", 7)),
+            "drain": lambda front, now: front.reducer.control(now, b"POST", control.OUT)[1],
+            "undrain": lambda front, now: front.reducer.control(now, b"POST", control.IN)[1],
+            "hand over": lambda front, now: front.reducer.hand_over(now)[1],
+            "heir died": lambda front, now: front.reducer.heir_died(now)}
+
+
+@pytest.mark.parametrize("second", _calls())
+@pytest.mark.parametrize("first", _calls())
+@pytest.mark.parametrize("apart_us", [0, 100_000, 650_000, 900_000])
+def test_of_what_ends_and_moves_a_process_any_two_cross_with_all_answered(
+        first: str, second: str, apart_us: int) -> None:
+    front = Front(heard=True)
+    front.rest(1)  # one at rest, one that waits for an answer, one amid its request
+    front.came(2)
+    front.ask(2)
+    front.came(3)
+    front.reducer.request_began(0, 3)
+    hop = front.hop()
+    front.told = []
+    open_ = {1, 2, 3}
+
+    def follow(now: int) -> None:
+        """What the tasks on sockets would do."""
+        while front.told:
+            effect = front.told.pop(0)
+            if isinstance(effect, do.Write):
+                answered.append((effect.client, effect.answer.status))
+                front.told += front.reducer.written(now, effect.client)
+            elif isinstance(effect, do.Shut) and effect.client in open_:
+                open_.remove(effect.client)
+                front.told += front.reducer.client_left(now, effect.client)
+            elif isinstance(effect, do.Leave):
+                left.append(now)
+
+    answered, left = list[tuple[int, int]](), list[int]()
+    for at, name in ((0, first), (apart_us, second)):
+        for now in range(0 if at == 0 else 1, at + 1, 50_000):
+            front.told += front.reducer.woke(now)
+            follow(now)
+        front.told += _calls()[name](front, at)
+        follow(at)
+    front.end(hop, Outcome.COMMITTED, now=apart_us + 1000)
+    follow(apart_us + 1000)
+    for now in range(apart_us + 2000, 12 * SECOND, 50_000):
+        front.told += front.reducer.woke(now)
+        follow(now)
+    assert (2, 200) in answered and [client for client, _ in answered].count(2) == 1
+    ends = "stop" in (first, second)
+    assert len(left) == ends and (not ends or not open_)  # once, and only where it was asked for
+
+
 def test_a_stop_does_not_wait_for_ever_for_a_request_that_never_becomes_whole() -> None:
     front = Front()
     front.came(1)
