--- a/cressrail/sockets/link.py
+++ b/cressrail/sockets/link.py
@@ -105,7 +105,7 @@
         stream = self.stream
         assert stream is not None
         now, until_us = self.net.now(), job.until_us
-        if (client := self.net.reducer.asker(job.hop)) and self.net.has_left(client):
+        if (client := self.net.reducer.asker(now, job.hop)) and self.net.has_left(client):
             # Guards against work for those who left while their request lay unread, or a connection came up.
             self.net.tell(self.net.reducer.client_went(now, client))
         if (unsent := self.net.reducer.unsent(now, job.hop)) is not None:
--- a/cressrail/traffic/reducer.py
+++ b/cressrail/traffic/reducer.py
@@ -43,6 +43,7 @@
 SETTLE_US = 5_000  # an endpoint may send a second answer some milliseconds after its first
 HEIR_IDLE_US = 8_000_000  # so long a client may ask once more of a process that has handed over
 DRAIN_IDLE_US = 500_000  # a front has seen the no by then, so clients who are closed go elsewhere
+LOOK_US = 100_000  # one that came later than so ago is sent on well within the 0.3 s in which it may be
 NEVER_US = 1 << 62  # on the clock
 HEALTH = b"/_health"
 
@@ -63,6 +64,7 @@
     hops: dict[int, int] = field(default_factory=dict)  # the transaction's numbers to this process's
     sent: int = 0
     rejected: bool = False
+    arrived_us: int = 0
     limit_us: int = 0  # the time it has once the client has sent it whole
     passed: int = 0  # the hop whose answer is being passed on; the module has done with it
 
@@ -269,7 +271,7 @@
         left_us = -1 if request.streams else max(0, limit_us - (now - arrived_us))
         tx = self.sidecar.take(now, profile, member, left_us)
         held.tx = tx
-        self.txs[tx] = Held(client, request, limit_us=limit_us)
+        self.txs[tx] = Held(client, request, arrived_us=arrived_us, limit_us=limit_us)
         self.open_ids[name] = client
         return self._out(now, self._decided(now, tx.route(now)))
 
@@ -340,10 +342,11 @@
         """Until when a hop is waited for, once its request has come whole."""
         return self.hops[hop].tx.end_us
 
-    def asker(self, hop: int) -> int:
-        """The client that a hop is for, if it still waits; 0 if not."""
+    def asker(self, now: int, hop: int) -> int:
+        """The client that a hop is for, if it has waited for some time, and may have left in it; 0 if not."""
         tx = self.hops[hop].tx
-        return 0 if tx.closed else self.txs[tx].client
+        waited = not tx.closed and now - self.txs[tx].arrived_us >= LOOK_US
+        return self.txs[tx].client if waited else 0
 
     def unsent(self, now: int, hop: int) -> tuple[Outcome, str] | None:
         """Asked just before a hop's first byte, the one place that no hop gets past: how it ends without it;
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -452,6 +452,18 @@
     assert len(front.all(do.Leave)) == 1
 
 
+@pytest.mark.parametrize("waited_us, looked", [(0, False), (99_999, False), (100_000, True), (900_000, True)])
+def test_a_client_is_looked_at_before_a_first_byte_only_where_it_may_have_left_long_ago(
+        waited_us: int, looked: bool) -> None:
+    front = Front(heard=True)
+    front.came(1)
+    front.ask(1, now=SECOND, arrived_us=SECOND - waited_us)
+    hop = front.hop()
+    assert front.reducer.asker(SECOND, hop.hop) == (1 if looked else 0)
+    front.told += front.reducer.client_went(SECOND, 1)
+    assert front.reducer.asker(SECOND, hop.hop) == 0 and front.reducer.unsent(SECOND, hop.hop)
+
+
 @pytest.mark.parametrize("kind, sent, answer", [
     ("read", True, 503), ("write", True, 502), ("note", True, 503), ("once", True, 502), ("once", False, 503),
     ("write", False, 503)])
