--- a/tools/regress.py
+++ b/tools/regress.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+import panels
 import whole
 
 FIGURES = Path(__file__).with_name("regress.toml")
@@ -78,6 +79,11 @@
         seeds = row.get("seeds")
         if not (isinstance(seeds, list) and seeds and all(isinstance(seed, int) for seed in seeds)):
             raise Unusable(f"{path}: whole.days.{n}.seeds is no list of whole numbers")
+    for n, row in enumerate(told.get("panels", [])):
+        for key, kind in (("name", str), ("bench", str), ("sites", list), ("arguments", list), ("quick", int),
+                          ("full", int), ("seeds", list)):
+            if not isinstance(row.get(key, [] if key == "seeds" else None), kind):
+                raise Unusable(f"{path}: panels.{n}.{key} is missing, or not what it should be")
     return told
 
 
@@ -112,17 +118,23 @@
             for part in (day["bench"], day["site"]):
                 if not (kit / part).is_file():
                     raise Unusable(f"{kit / part}: not in the kit")
+        for row in told.get("panels", []):
+            for path in (kit / row["bench"], *panels.sites(kit, row)):
+                if not path.is_file():
+                    raise Unusable(f"{path}: no such file")
     except Unusable as fault:
         print(f"regress: {fault}", file=sys.stderr)
         return 2
     played = [play(kit, day, size) for day in days]
     days_seen = whole.play(kit, told["whole"], size, JOURNAL) if "whole" in told else []
+    shorts = [panel for row in told.get("panels", []) for panel in panels.play(kit, row, size, JOURNAL, gate)]
     print(f"\n{size + ', simulated servers':38} {'recorded':>8} {'now':>8}")
     for one in played:
         print(one.row(told["margin"]))
-    for seen in days_seen:
+    beside: list[whole.Seen | panels.Panel] = [*days_seen, *shorts]
+    for seen in beside:
         print(*seen.rows(), sep="\n")
-    return int(any(one.fell(told["margin"]) for one in played) or not all(one.kept for one in days_seen))
+    return int(any(one.fell(told["margin"]) for one in played) or not all(one.kept for one in beside))
 
 
 if __name__ == "__main__":
--- a/tools/whole.py
+++ b/tools/whole.py
@@ -38,10 +38,10 @@
 def played(journal: Path, day: str) -> int:
     """How many plays of one such day by itself the journal holds."""
     word = f'"--rough","{day}","--seed"'
-    return sum(word in _head(entry) for entry in journal.glob("*.json"))
+    return sum(word in head(entry) for entry in journal.glob("*.json"))
 
 
-def _head(entry: Path) -> str:
+def head(entry: Path) -> str:
     with entry.open(encoding="utf-8", errors="replace") as text:
         return text.read(HEAD)
 
