--- a/review/support.py
+++ b/review/support.py
@@ -58,6 +58,12 @@
         self.tasks.add(task)
         return task
 
+    def keep_current_task(self) -> None:
+        """Keeps the running task until the end of the case: a server holds its tasks weakly."""
+        task = asyncio.current_task()
+        if task is not None:
+            self.tasks.add(task)
+
     async def start_sidecar(self, configuration: dict[str, Any], **environment: str) -> Any:
         """Starts a sidecar with the command of the deploy file; its log goes to the temporary folder."""
         name = configuration["name"]
@@ -217,6 +223,7 @@
         return json.dumps(value, separators=(",", ":")).encode()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.case.keep_current_task()
         with suppress(ConnectionError, asyncio.CancelledError):
             while (message := await read_message(reader)) is not None:
                 target = message[0].split(" ")[1]
@@ -272,6 +279,7 @@
         return f"answer of {self.name} to {request_id}".encode()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.case.keep_current_task()
         with suppress(ConnectionError, asyncio.CancelledError):
             while (message := await read_message(reader)) is not None:
                 request_id = message[1].get("req-id", "")
@@ -394,6 +402,7 @@
         return {**self.endpoint.member(), "host_port": f"{self.address[0]}:{self.address[1]}"}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.case.keep_current_task()
         with suppress(OSError, asyncio.CancelledError):
             to_reader, to_writer = await asyncio.open_connection(*self.endpoint.address)
             await asyncio.gather(self._pass_on(reader, to_writer), self._pass_on(to_reader, writer))
