Review: a case that is told to end also ends what it has started

Cause: SIGTERM ended a case's own process alone and left its sidecars.

Measured: no sidecar is left after SIGTERM amid case 3; the cases' verdicts are as before.

--- a/review/support.py
+++ b/review/support.py
@@ -124,6 +124,9 @@
 
     async def play() -> int:
         case = Case(folder)
+        this = asyncio.current_task()
+        if this is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         try:
             broken = await asyncio.wait_for(body(case), CASE_LIMIT_S)
         except (Exception, asyncio.CancelledError) as error:
