--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -40,6 +40,7 @@
         input_buffer: Received bytes that have not been consumed yet.
         arrived_us: The earliest time at which the most recently received bytes may have arrived, in
             microseconds.
+        created_us: The time at which this object was created, in microseconds.
     """
 
     def __init__(self, scheduler: Scheduler, pool: BufferPool, sock: socket.socket) -> None:
@@ -48,6 +49,7 @@
         self.descriptor = sock.fileno()
         self.input_buffer = ReceiveBuffer(pool)
         self.arrived_us = scheduler.earliest_arrival_us
+        self.created_us = scheduler.now()
         # Whether the next received bytes may have arrived before this object was created.
         self._may_precede_stream = True
         sock.setblocking(False)
--- /dev/null
+++ b/cressrail/network/tcp_information.py
@@ -0,0 +1,31 @@
+"""What the kernel records about a TCP connection: the option TCP_INFO of tcp(7)."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+# The start of struct tcp_info (linux/tcp.h), of which two members are read: the retransmission time-out in
+# microseconds and the time since the last data was received in milliseconds.
+TCP_INFO_START = struct.Struct("=8xI40xI")
+US_PER_MS = 1000
+
+
+def time_since_last_input_us(sock: socket.socket) -> int | None:
+    """Returns how long ago the kernel received the last data of a connection, read or unread, in us.
+
+    If the peer has sent no data, the time counts from when the connection was established. The kernel counts
+    in ticks, so the result is too large or too small by up to one tick, 10 ms at most.
+
+    Returns:
+        The time in microseconds; None if the system does not record it.
+    """
+    try:
+        information = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_START.size)
+    except OSError:
+        return None
+    if len(information) < TCP_INFO_START.size:
+        return None
+    retransmission_timeout_us, last_input_ms = TCP_INFO_START.unpack(information)
+    # A connection always has such a time-out: one of zero shows that the system fills nothing in.
+    return last_input_ms * US_PER_MS if retransmission_timeout_us else None
