A request's time counts from when the kernel had it, not from when it was read

Callers saw: requests that waited unaccepted behind a crowd of idle clients counted as new. Non-idempotent ones ran 2.3 s after their client had closed; others got all of their 480 ms anew and were answered after 2.8 s.

Cause: SocketStream.arrived_us is worked out from the rounds of the event loop, and holds only while the loop looks at the socket in each. Nobody looks while the listener pauses or has no descriptor, at a queue taken over from a predecessor, at a connection whose earlier request is being answered, or while the process is suspended inside poll. Evidence: request_read_late, 40 of 40 requests, 2.72 s, accepted 1 to 9 ms ago.

Change: once a request is read whole, the kernel tells how long ago its last data came (TCP_INFO); the earlier time counts. Where a system does not fill that in, the listener's own bound stands, now from its last pause on. It works for each such place since it asks the one who had the bytes, and no place has to be foreseen.

--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -5,10 +5,11 @@
 import errno
 import socket
 
-from cressrail.event_loop.scheduler import MESSAGE, READABLE
+from cressrail.event_loop.scheduler import MESSAGE, READABLE, Task
 from cressrail.network.client_connection import ClientConnectionTask
 from cressrail.network.dispatcher import CommandDispatcher
 from cressrail.network.socket_stream import DESCRIPTORS_EXHAUSTED
+from cressrail.network.tcp_information import time_since_last_input_us
 
 BACKLOG = 1024
 MAX_ACCEPTS_PER_ROUND = 64  # then other tasks run
@@ -85,11 +86,23 @@
                 if command.is_final:
                     self._close()
                     return
-            if event == MESSAGE or not self.is_accepting:
-                continue
-            for _ in range(MAX_ACCEPTS_PER_ROUND):
-                if task.messages or not self._accept():
-                    break
+            if event != MESSAGE and self.is_accepting:
+                self._accept_some(task)
+            elif not self.is_accepting:
+                self._leave_queue_waiting()
+
+    def _accept_some(self, task: Task) -> None:
+        """Accepts connections until none is queued, a command arrives or it is other tasks' turn."""
+        for _ in range(MAX_ACCEPTS_PER_ROUND):
+            if task.messages or not self._accept():
+                break
+        else:
+            self._leave_queue_waiting()
+
+    def _leave_queue_waiting(self) -> None:
+        """Records that connections may wait in the accept queue from now on, if not since earlier."""
+        if self.queued_since_us is None:
+            self.queued_since_us = self.dispatcher.now()
 
     def _close(self) -> None:
         """Accepts the queued connections, then closes; a connection that arrives in between is reset."""
@@ -111,6 +124,7 @@
         except OSError as error:
             self.is_out_of_descriptors = error.errno in DESCRIPTORS_EXHAUSTED
             if self.is_out_of_descriptors:
+                self._leave_queue_waiting()
                 self._wait_for_descriptors()
             return error.errno in CONNECTION_ABORTED
         self._start_client(sock)
@@ -134,7 +148,8 @@
         except OSError:  # the client has already disconnected
             sock.close()
             return
-        if self.queued_since_us is not None:  # the first request may have been waiting since then
+        if self.queued_since_us is not None and time_since_last_input_us(sock) is None:
+            # The first request may have been waiting since then, and the kernel does not tell.
             client.stream.arrived_us = min(client.stream.arrived_us, self.queued_since_us)
         # Registered before its task is spawned, because the end of the task unregisters the client.
         commands = dispatcher.state_machine.on_client_connected(dispatcher.now(), number)
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -10,7 +10,7 @@
 from cressrail.http1.errors import MalformedMessageError
 from cressrail.http1.request import Request, RequestReader
 from cressrail.network.dispatcher import CommandDispatcher
-from cressrail.network.late_reads import log_late_read
+from cressrail.network.late_reads import request_arrived_us
 from cressrail.network.request_upload import RequestUpload
 from cressrail.network.socket_stream import SocketStream, StreamInterruptedError, StreamTimeoutError
 
@@ -94,8 +94,8 @@
             return self._start_upload(reader, reader.incomplete_request)
         if reader.request is not None:
             self._body = None  # now owned by the state machine
-            log_late_read(self.dispatcher, self.stream, reader.request)
-            self._pass_on(reader.request, self.stream.arrived_us)
+            arrived_us = request_arrived_us(self.dispatcher, self.stream, reader.request)
+            self._pass_on(reader.request, arrived_us)
             return ReceptionResult.RECEIVED
         self._note_progress(reader)
         if reader.expects_continue:
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -10,6 +10,7 @@
 
 from cressrail.buffers.pool import BufferPool, BufferPoolExhaustedError, ReceiveBuffer
 from cressrail.event_loop.scheduler import MESSAGE, NEVER, READABLE, TIMED_OUT, WRITABLE, Scheduler
+from cressrail.network.tcp_information import KERNEL_TICK_US, time_since_last_input_us
 
 MAX_BUFFERS_PER_WRITE = 64
 # Errors that report exhausted resources of this process or system; they are not caused by the peer.
@@ -38,8 +39,8 @@
     Attributes:
         descriptor: The file descriptor of the socket.
         input_buffer: Received bytes that have not been consumed yet.
-        arrived_us: The earliest time at which the most recently received bytes may have arrived, in
-            microseconds.
+        arrived_us: The earliest time at which the most recently received bytes may have arrived, as far as
+            the event loop can tell, in microseconds. `input_arrived_us` asks the kernel too.
         created_us: The time at which this object was created, in microseconds.
     """
 
@@ -160,6 +161,17 @@
         self.input_buffer.add_received(count)
         return count
 
+    def input_arrived_us(self) -> int:
+        """Returns when the most recently received bytes arrived in the kernel, in microseconds.
+
+        The kernel tells, in ticks. The time that `receive` has recorded applies if it is earlier, or if the
+        system does not tell.
+        """
+        waited_us = time_since_last_input_us(self.sock)
+        if waited_us is not None:
+            self.arrived_us = min(self.arrived_us, self.scheduler.now() - waited_us + KERNEL_TICK_US)
+        return self.arrived_us
+
     def feed_to(self, parse: Callable[[memoryview], int]) -> None:
         """Passes the unconsumed bytes to a parser, which returns how many of them it has consumed."""
         self.input_buffer.consume(parse(self.input_buffer.unread()))
--- a/cressrail/network/tcp_information.py
+++ b/cressrail/network/tcp_information.py
@@ -9,13 +9,14 @@
 # microseconds and the time since the last data was received in milliseconds.
 TCP_INFO_START = struct.Struct("=8xI40xI")
 US_PER_MS = 1000
+KERNEL_TICK_US = 10_000  # the longest tick in which the kernel counts
 
 
 def time_since_last_input_us(sock: socket.socket) -> int | None:
     """Returns how long ago the kernel received the last data of a connection, read or unread, in us.
 
     If the peer has sent no data, the time counts from when the connection was established. The kernel counts
-    in ticks, so the result is too large or too small by up to one tick, 10 ms at most.
+    in ticks, so the result is too large or too small by up to `KERNEL_TICK_US`.
 
     Returns:
         The time in microseconds; None if the system does not record it.
