A crowd of silent clients no longer holds requests back beyond their deadlines

Cause: 310 silent connections hold all places, and each kept its own for a second, counted from its accept, so the queue moved on once a second. Evidence: request_read_late with 2.7 s waited and milliseconds since the accept; the listener resumed at 1, 2 and 2.7 s.

Change: a new client's silence counts from when the kernel had its connection or last byte, so that it ages in the queue; and one that has begun no request may be closed to make room after 0.25 s, one that stopped amid its request after 1 s as before. A client is still looked at before the close, and served if its request has come. The timer no longer uses the shorter limit where the listener is closed for good.

--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -148,11 +148,13 @@
         except OSError:  # the client has already disconnected
             sock.close()
             return
-        if self.queued_since_us is not None and time_since_last_input_us(sock) is None:
+        now_us = dispatcher.now()
+        silent_us = time_since_last_input_us(sock)
+        if silent_us is None and self.queued_since_us is not None:
             # The first request may have been waiting since then, and the kernel does not tell.
             client.stream.arrived_us = min(client.stream.arrived_us, self.queued_since_us)
         # Registered before its task is spawned, because the end of the task unregisters the client.
-        commands = dispatcher.state_machine.on_client_connected(dispatcher.now(), number)
+        commands = dispatcher.state_machine.on_client_connected(now_us, number, now_us - (silent_us or 0))
         dispatcher.clients[number] = dispatcher.scheduler.spawn(client.run)
         dispatcher.client_descriptors[number] = sock.fileno()
         dispatcher.dispatch(commands)
--- a/cressrail/proxy/clients.py
+++ b/cressrail/proxy/clients.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from itertools import chain, islice
+
 from cressrail.policy.routed_request import RoutedRequest
 from cressrail.proxy.commands import CloseClient
 from cressrail.proxy.connection_limits import ConnectionLimits
 
-# A client that has sent no byte of its request for this long may be closed to make room for another one.
+# A client that has sent no byte for this long amid its request may be closed to make room for another one.
 CLIENT_STALL_US = 1_000_000
+# The same for a new client that has not begun its request. Below the usual deadlines of requests, because
+# those of others wait in the accept queue meanwhile.
+FIRST_BYTE_WAIT_US = 250_000
 # After this long it is closed even if there is room: services send their request as soon as they connect.
 CLIENT_SILENCE_LIMIT_US = 2_500_000
 
@@ -42,20 +47,28 @@
     Attributes:
         open: All connections, by the client's id.
         idle: Ids of clients between two requests, the longest idle first (a dict used as an ordered set).
-        receiving: Clients that are new or in the middle of a request, each with the time in us since which it
-            has sent no byte. The client that has been silent longest comes first.
+        unstarted: New clients of which no byte has been read, each with the time in us since which it has
+            sent none, in the order in which they connected.
+        receiving: Clients in the middle of a request, each with the time in us since which it has sent no
+            byte. The client that has been silent longest comes first.
     """
 
     def __init__(self, limits: ConnectionLimits) -> None:
         self.limits = limits
         self.open: dict[int, Client] = {}
         self.idle: dict[int, None] = {}
+        self.unstarted: dict[int, int] = {}
         self.receiving: dict[int, int] = {}
 
-    def connect(self, now_us: int, client: int) -> CloseClient | None:
+    def connect(self, now_us: int, client: int, silent_since_us: int) -> CloseClient | None:
         """Adds a new client. Beyond the limit, returns the command to close another one if possible.
 
         If no other client may be closed, the new one is marked as over the limit.
+
+        Args:
+            now_us: The current time.
+            client: The client's id.
+            silent_since_us: When the client connected, or last sent bytes that are still unread.
         """
         connected = self.open[client] = Client()
         closed = None
@@ -65,14 +78,14 @@
                 connected.is_over_limit = True
             else:
                 closed = self.close_if_idle(closable)
-        self.receiving[client] = now_us
+        self.unstarted[client] = silent_since_us
         return closed
 
     def start_receiving(self, now_us: int, client: int) -> None:
         """Records the first byte of a request; a new client's silence counts from when it connected."""
         if client not in self.receiving:
             self.idle.pop(client, None)
-            self.receiving[client] = now_us
+            self.receiving[client] = self.unstarted.pop(client, now_us)
 
     def record_progress(self, now_us: int, client: int) -> None:
         """Records more bytes of a request: slow clients are closed after those that have stopped sending."""
@@ -81,12 +94,13 @@
 
     def finish_receiving(self, client: int) -> None:
         """Stops checking the client for silence: its request is complete, or forwarded while it arrives."""
+        self.unstarted.pop(client, None)
         self.receiving.pop(client, None)
 
     def stop_tracking(self, client: int) -> None:
         """Stops counting the client as idle or as sending a request."""
         self.idle.pop(client, None)
-        self.receiving.pop(client, None)
+        self.finish_receiving(client)
 
     def set_request(self, client: int, routed_request: RoutedRequest) -> None:
         """Records the request whose response the client waits for."""
@@ -115,13 +129,22 @@
     def find_closable(self, now_us: int) -> int | None:
         """Returns a client that may be closed to make room: one that is idle or has stopped sending.
 
-        A new client gets `CLIENT_STALL_US` to send its first request, while a client that vanishes in the
+        A new client gets `FIRST_BYTE_WAIT_US` to begin its first request, while a client that vanishes in the
         middle of a request does not keep its place.
         """
         if self.idle:
             return next(iter(self.idle))
-        oldest = next(iter(self.receiving), None)
-        return oldest if oldest is not None and self.receiving[oldest] + CLIENT_STALL_US <= now_us else None
+        for silent, limit_us in ((self.unstarted, FIRST_BYTE_WAIT_US), (self.receiving, CLIENT_STALL_US)):
+            oldest = next(iter(silent), None)
+            if oldest is not None and silent[oldest] + limit_us <= now_us:
+                return oldest
+        return None
+
+    def closable_from_us(self) -> int | None:
+        """Returns when a silent client may be closed to make room; None if there is no such client."""
+        times_us = [since_us + FIRST_BYTE_WAIT_US for since_us in islice(self.unstarted.values(), 1)]
+        times_us += [since_us + CLIENT_STALL_US for since_us in islice(self.receiving.values(), 1)]
+        return min(times_us, default=None)
 
     def close_if_idle(self, client: int) -> CloseClient:
         """Returns the command to close a client unless it has begun to send a request in the meantime."""
@@ -133,16 +156,20 @@
         return [self.close_if_idle(client) for client in list(self.idle)]
 
     def close_silent(self, now_us: int, limit_us: int) -> list[CloseClient]:
-        """Returns the commands to close clients in `receiving` that have sent no byte for `limit_us`."""
-        silent = [client for client, since_us in self.receiving.items() if since_us + limit_us <= now_us]
+        """Returns the commands to close clients that owe a request and have sent no byte for `limit_us`."""
+        owing = chain(self.unstarted.items(), self.receiving.items())
+        silent = [client for client, since_us in owing if since_us + limit_us <= now_us]
         return [self.close_if_idle(client) for client in silent]
 
-    def silent_since_us(self) -> int:
-        """Returns the time since which the longest silent client in `receiving` has sent no byte.
+    def silent_since_us(self) -> int | None:
+        """Returns the time since which the longest silent client that owes a request has sent no byte.
 
-        Must not be called while `receiving` is empty.
+        Returns:
+            The time in microseconds; None if no client owes a request.
         """
-        return next(iter(self.receiving.values()))
+        if not self.unstarted and not self.receiving:
+            return None
+        return min(next(iter(silent.values())) for silent in (self.unstarted, self.receiving) if silent)
 
     def is_full(self) -> bool:
         """Returns whether new clients may have to wait until another one closes."""
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -191,10 +191,16 @@
 
     # Clients
 
-    def on_client_connected(self, now_us: int, client: int) -> list[Command]:
-        """Handles a newly accepted client; another one may be closed to make room."""
+    def on_client_connected(self, now_us: int, client: int, silent_since_us: int) -> list[Command]:
+        """Handles a newly accepted client; another one may be closed to make room.
+
+        Args:
+            now_us: The current time.
+            client: The client's id.
+            silent_since_us: When the client connected, or last sent bytes that are still unread.
+        """
         self.lifecycle.record_client(now_us)
-        closed = self.clients.connect(now_us, client)
+        closed = self.clients.connect(now_us, client, silent_since_us)
         read = commands.ReadRequest(client)
         return self._complete(now_us, [read] if closed is None else [closed, read])
 
--- a/cressrail/proxy/timers.py
+++ b/cressrail/proxy/timers.py
@@ -61,7 +61,10 @@
                 next_us = min(next_us, lifecycle.answer_deadline_us)
         if lifecycle.is_out_of_service:
             next_us = min(next_us, lifecycle.idle_close_us)
-        if self.clients.receiving:
-            keeps_idle = lifecycle.rules.keeps_idle_clients and lifecycle.is_accepting
-            next_us = min(next_us, self.clients.silent_since_us() + silence_limit_us(keeps_idle))
+        silent_since_us = self.clients.silent_since_us()
+        if silent_since_us is not None:
+            next_us = min(next_us, silent_since_us + silence_limit_us(lifecycle.rules.keeps_idle_clients))
+        if lifecycle.rules.accepts_clients and not lifecycle.is_accepting:
+            closable_us = self.clients.closable_from_us()
+            next_us = next_us if closable_us is None else min(next_us, closable_us)
         return next_us
--- a/tests/network/test_waiting_requests.py
+++ b/tests/network/test_waiting_requests.py
@@ -121,6 +121,27 @@
     assert not endpoint.heads
 
 
+def test_request_behind_a_crowd_of_silent_clients_is_answered_in_time() -> None:
+    """Guards against a crowd that holds requests back in the accept queue until their time is over."""
+    endpoint = RecordingEndpoint()
+    harness = SidecarHarness([endpoint])
+    limits = harness.state_machine.limits
+    limits.clients, limits.extra_clients = 4, 1
+    statuses: list[bytes] = []
+
+    def client(peer: ScriptedPeer) -> None:
+        crowd = [socket.create_connection(harness.address) for _ in range(4 * limits.clients)]
+        waiting = socket.create_connection(harness.address)
+        waiting.sendall(request_bytes(Req_Deadline="700m"))
+        statuses.append(read_status(ScriptedPeer(peer.scheduler, waiting)))
+        for sock in [*crowd, waiting]:
+            sock.close()
+
+    harness.add_client(client)
+    harness.run()
+    assert statuses == [b"200"]
+
+
 def test_request_unread_during_the_one_before_it_is_not_sent_late() -> None:
     """Guards against a second request on a connection that counts as new once the first has its answer."""
     endpoint = RecordingEndpoint()
--- a/tests/proxy/support.py
+++ b/tests/proxy/support.py
@@ -67,9 +67,10 @@
         self.commands = [command for command in self.commands if not isinstance(command, command_type)]
         return found
 
-    def connect_client(self, client: int, now: int = 0) -> None:
-        """Connects a client that has not sent anything yet."""
-        self.commands += self.state_machine.on_client_connected(now, client)
+    def connect_client(self, client: int, now: int = 0, connected_us: int | None = None) -> None:
+        """Accepts a client that has not sent anything yet; it connected just now or at `connected_us`."""
+        silent_since_us = now if connected_us is None else connected_us
+        self.commands += self.state_machine.on_client_connected(now, client, silent_since_us)
 
     def connect_idle_client(self, client: int, now: int = 0) -> None:
         """Connects a client that has received a response and keeps its connection open."""
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cressrail.proxy import commands
-from cressrail.proxy.clients import CLIENT_SILENCE_LIMIT_US, CLIENT_STALL_US
+from cressrail.proxy.clients import CLIENT_SILENCE_LIMIT_US, CLIENT_STALL_US, FIRST_BYTE_WAIT_US
 from cressrail.proxy.commands import Command
 from tests.proxy.support import ProxyDriver
 from tests.support.configuration import SECOND
@@ -53,6 +53,18 @@
     assert len(driver.take_commands(commands.SendAttempt)) == 1
 
 
+@pytest.mark.parametrize(
+    ("waited_us", "closed"),
+    [(FIRST_BYTE_WAIT_US - 1, []), (FIRST_BYTE_WAIT_US, [commands.CloseClient(1, True)])],
+)
+def test_silence_of_new_client_counts_from_its_connection(waited_us: int, closed: list[Command]) -> None:
+    """Guards against clients that wait in the accept queue and get the time for a first byte anew."""
+    driver = ProxyDriver(max_clients=1)
+    driver.connect_client(1, now=SECOND, connected_us=SECOND - waited_us)
+    driver.connect_client(2, now=SECOND)
+    assert driver.take_commands(commands.CloseClient) == closed
+
+
 def test_client_stalled_longest_closes_first() -> None:
     driver = ProxyDriver(max_clients=2)
     for client in (1, 2):
