Before each attempt it is known whether its client is there, however old the request

Cause: the look at the client was taken only for requests that had come 0.1 s ago or longer (CLIENT_CHECK_AGE_US).

Change: the look precedes every attempt, as one poll call on a poll object that the connection keeps; the bound and the arrival time that it needed go. The look at an idle endpoint connection uses the same call, and peeks only where something is pending: a peek that finds nothing raises, which took 5 us, and the poll takes 1.7. The test of the bound becomes one of five ages that are all checked; the test of requests received with their client's close no longer has to set the bound to 0.

--- a/cressrail/network/dispatcher.py
+++ b/cressrail/network/dispatcher.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import select
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from cressrail.buffers.pool import BufferPool
-from cressrail.event_loop.scheduler import PEER_CLOSED, Scheduler, Task
+from cressrail.event_loop.scheduler import Scheduler, Task
 from cressrail.logs.log_writer import LogWriter
+from cressrail.network.socket_stream import SocketStream
 from cressrail.proxy import commands
 from cressrail.proxy.commands import Command
 from cressrail.proxy.state_machine import StateMachine
@@ -35,7 +35,7 @@
     Attributes:
         clients: The task of each client connection, by client number.
         connections: The task of each endpoint connection, by connection number.
-        client_descriptors: The file descriptor of each client connection, by client number.
+        client_streams: The connection of each client, by client number.
         command_tasks: The task for each type of command that a single task handles.
         start_connection: Returns the body of the task for a new endpoint connection, given its number.
         at_end: Callbacks that run after the event loop has ended; they must not block.
@@ -73,12 +73,11 @@
         self.endpoint_idle_timeout_us = endpoint_idle_timeout_us
         self.peer_timeout_us = peer_timeout_us
         self.clients: dict[int, Task] = {}
-        self.client_descriptors: dict[int, int] = {}
+        self.client_streams: dict[int, SocketStream] = {}
         self.connections: dict[int, Task] = {}
         self.start_connection: Callable[[int], Callable[[], None]] | None = None
         self.at_end: list[Callable[[], None]] = []
         self.command_tasks: dict[type[Command], Task] = {}
-        self._disconnect_poll = select.poll()
         # One dictionary look-up per command, because each request causes about six commands.
         self.handlers: dict[type[Command], Callable[[Any], None]] = {
             commands.ReadRequest: self._to_client,
@@ -104,17 +103,12 @@
 
     def has_client_disconnected(self, client: int) -> bool:
         """Returns whether a client has closed its connection, even if the task has not noticed it yet."""
-        descriptor = self.client_descriptors.get(client, -1)
-        if descriptor < 0:
-            return False
-        self._disconnect_poll.register(descriptor, PEER_CLOSED)
-        events = self._disconnect_poll.poll(0)
-        self._disconnect_poll.unregister(descriptor)
-        return bool(events)
+        stream = self.client_streams.get(client)
+        return stream is not None and stream.has_peer_closed()
 
     def client_connection_closed(self, number: int) -> None:
         """Removes a client connection; its task calls this last."""
-        del self.clients[number], self.client_descriptors[number]
+        del self.clients[number], self.client_streams[number]
         self.dispatch(self.state_machine.on_client_closed(self.now(), number))
 
     def endpoint_connection_closed(self, number: int) -> None:
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -149,11 +149,11 @@
     def _check_before_send(self, command: SendAttempt, now_us: int) -> AttemptEnd | None:
         """Checks again whether the attempt may be sent; returns None if so.
 
-        While the attempt waited, for example for its connection, its client may have disconnected and the
-        endpoint list may have changed.
+        The client may have disconnected before its request was read, or since; the endpoint list may have
+        changed while the attempt waited for its connection.
         """
         dispatcher, state_machine = self.dispatcher, self.dispatcher.state_machine
-        client = state_machine.waiting_client(now_us, command.attempt)
+        client = state_machine.waiting_client(command.attempt)
         if client and dispatcher.has_client_disconnected(client):
             dispatcher.dispatch(state_machine.on_client_disconnected(now_us, client))
         unsent = state_machine.check_before_send(now_us, command.attempt)
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -156,5 +156,5 @@
         # Registered before its task is spawned, because the end of the task unregisters the client.
         commands = dispatcher.state_machine.on_client_connected(now_us, number, now_us - (silent_us or 0))
         dispatcher.clients[number] = dispatcher.scheduler.spawn(client.run)
-        dispatcher.client_descriptors[number] = sock.fileno()
+        dispatcher.client_streams[number] = client.stream
         dispatcher.dispatch(commands)
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -4,12 +4,21 @@
 
 import errno
 import os
+import select
 import socket
 from collections.abc import Callable
 from enum import Enum
 
 from cressrail.buffers.pool import BufferPool, BufferPoolExhaustedError, ReceiveBuffer
-from cressrail.event_loop.scheduler import MESSAGE, NEVER, READABLE, TIMED_OUT, WRITABLE, Scheduler
+from cressrail.event_loop.scheduler import (
+    MESSAGE,
+    NEVER,
+    PEER_CLOSED,
+    READABLE,
+    TIMED_OUT,
+    WRITABLE,
+    Scheduler,
+)
 from cressrail.network.tcp_information import KERNEL_TICK_US, time_since_last_input_us
 
 MAX_BUFFERS_PER_WRITE = 64
@@ -53,6 +62,7 @@
         self.created_us = scheduler.now()
         # Whether the next received bytes may have arrived before this object was created.
         self._may_precede_stream = True
+        self._poll: select.poll | None = None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -176,8 +186,14 @@
         """Passes the unconsumed bytes to a parser, which returns how many of them it has consumed."""
         self.input_buffer.consume(parse(self.input_buffer.unread()))
 
+    def has_peer_closed(self) -> bool:
+        """Returns whether the peer has closed or reset the connection, even if input is still unread."""
+        return bool(self._pending_events() & ~READABLE)
+
     def idle_state(self) -> IdleState:
         """Returns the state of an idle connection without consuming any input."""
+        if not self._pending_events():
+            return IdleState.USABLE
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -188,6 +204,14 @@
             return IdleState.ENDED
         return IdleState.ENDED
 
+    def _pending_events(self) -> int:
+        """Returns the mask that poll reports at this moment, without blocking."""
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(self.descriptor, READABLE | PEER_CLOSED)
+        events = self._poll.poll(0)
+        return events[0][1] if events else 0
+
     def linger(self, until_us: int) -> None:
         """Shuts down the sending side and discards input until the peer closes or `until_us` is reached.
 
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -27,8 +27,6 @@
     PendingRequests,
 )
 
-# Before an attempt of a request older than this is sent, the client is checked: it may have disconnected.
-CLIENT_CHECK_AGE_US = 100_000
 SUCCESS_STATUS = 200
 INVALID_REQUEST_STATUS = 400
 FAILED_STATUS = 502  # the request may have taken effect
@@ -237,13 +235,10 @@
             commands += self.attempts.cancel(streaming)
         return commands + self.requests.release(routed_request)
 
-    def waiting_client(self, now_us: int, attempt: int) -> int:
-        """Returns the client of an attempt if it has waited so long that it may have left; otherwise 0."""
+    def waiting_client(self, attempt: int) -> int:
+        """Returns the client that waits for the answer to an attempt's request; 0 if none does any more."""
         routed_request = self.attempts.in_flight[attempt].routed_request
-        if routed_request.is_finished:
-            return 0
-        pending = self.requests.pending[routed_request]
-        return pending.client if now_us - pending.arrived_us >= CLIENT_CHECK_AGE_US else 0
+        return 0 if routed_request.is_finished else self.requests.pending[routed_request].client
 
     # Results of attempts
 
--- a/cressrail/proxy/intake.py
+++ b/cressrail/proxy/intake.py
@@ -84,7 +84,7 @@
             reply = self.forwarder.reply(client, OVER_LIMIT_STATUS, request.body, class_name)
             return [LogEvent(events.CONNECTION_LIMIT_REACHED, counts), *reply]
         remaining_us = CLOCK_NOT_STARTED if request.is_streaming else max(0, limit_us - (now_us - arrived_us))
-        pending = PendingRequest(client, request, request_id, class_name, arrived_us, limit_us)
+        pending = PendingRequest(client, request, request_id, class_name, limit_us)
         return self._forward(now_us, request_class, remaining_us, pending)
 
     def _time_limit_us(
--- a/cressrail/proxy/requests.py
+++ b/cressrail/proxy/requests.py
@@ -23,8 +23,6 @@
         request: The request as received.
         request_id: The request's id, which no other request may use while this one waits for its response.
         class_name: Name of the request class.
-        arrived_us: Time at which the last byte arrived, or the head if the request is forwarded while it
-            arrives.
         time_limit_us: Time limit in us, which starts when the client has sent the whole request.
         attempts: Ids of the request's attempts, by the load balancer's attempt numbers.
         attempt_count: Number of attempts made.
@@ -39,14 +37,12 @@
         request: Request,
         request_id: str,
         class_name: str,
-        arrived_us: int,
         time_limit_us: int,
     ) -> None:
         self.client = client
         self.request = request
         self.request_id = request_id
         self.class_name = class_name
-        self.arrived_us = arrived_us
         self.time_limit_us = time_limit_us
         self.attempts: dict[int, int] = {}
         self.attempt_count = 0
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -267,9 +267,9 @@
         """Returns when an attempt times out, given that its request has arrived completely."""
         return self.attempts.in_flight[attempt].routed_request.deadline_us
 
-    def waiting_client(self, now_us: int, attempt: int) -> int:
-        """Returns the client of an attempt if it has waited so long that it may have left; otherwise 0."""
-        return self.forwarder.waiting_client(now_us, attempt)
+    def waiting_client(self, attempt: int) -> int:
+        """Returns the client that waits for the answer to an attempt's request; 0 if none does any more."""
+        return self.forwarder.waiting_client(attempt)
 
     def check_before_send(self, now_us: int, attempt: int) -> tuple[Outcome, str] | None:
         """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent."""
--- a/tests/network/test_crossings.py
+++ b/tests/network/test_crossings.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from cressrail.proxy import commands, endpoint_connections, forwarding
+from cressrail.proxy import commands, endpoint_connections
 from tests.network.support import (
     BODY_64_KIB,
     FIRST_UPDATE_REVISION,
@@ -46,10 +46,9 @@
 @pytest.mark.parametrize("may_cancel", [True, False], ids=["may-cancel", "may-not-cancel"])
 @pytest.mark.parametrize("requests", [1, 10])
 def test_request_received_with_client_close_is_not_sent(
-    has_idle_connection: bool, may_cancel: bool, requests: int, monkeypatch: pytest.MonkeyPatch
+    has_idle_connection: bool, may_cancel: bool, requests: int
 ) -> None:
-    """With `CLIENT_CHECK_AGE_US` at 0, each send is preceded by a check whether the client is connected."""
-    monkeypatch.setattr(forwarding, "CLIENT_CHECK_AGE_US", 0)
+    """Each send is preceded by a check whether the client is connected."""
     endpoint = RecordingEndpoint()
     harness = SidecarHarness([endpoint], may_cancel=may_cancel)
 
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -69,15 +69,13 @@
     assert not driver.state_machine.requests.pending
 
 
-@pytest.mark.parametrize(
-    ("waited_us", "is_checked"), [(0, False), (99_999, False), (100_000, True), (900_000, True)]
-)
-def test_client_is_checked_before_send_only_if_it_waited_long(waited_us: int, is_checked: bool) -> None:
+@pytest.mark.parametrize("waited_us", [0, 1, 99_999, 100_000, 900_000])
+def test_client_is_checked_before_each_send_until_it_has_left(waited_us: int) -> None:
     driver = ProxyDriver(has_list=True)
     driver.connect_client(1)
     driver.send_request(1, now=SECOND, arrived_us=SECOND - waited_us)
     command = driver.take_attempt()
-    assert driver.state_machine.waiting_client(SECOND, command.attempt) == (1 if is_checked else 0)
+    assert driver.state_machine.waiting_client(command.attempt) == 1
     driver.commands += driver.state_machine.on_client_disconnected(SECOND, 1)
-    assert driver.state_machine.waiting_client(SECOND, command.attempt) == 0
+    assert driver.state_machine.waiting_client(command.attempt) == 0
     assert driver.state_machine.check_before_send(SECOND, command.attempt)
