The time of a large request counts from when the kernel had its last byte

Callers would see: an upload whose end waited unread, behind a full pipe, got all of its deadline anew and was answered late.

Cause: RequestUpload.finish passed on the time at which the last bytes were read, and RequestForwarder.complete let the attempt send the last part even where nothing of the time was left. Found by going through the places where bytes may wait unread.

Change: the kernel is asked for the age of the last bytes here too. If the time is over, the request is refused with 503, and the pipe is marked as failed, so that the endpoint never gets the last byte and does not run it.

--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -10,6 +10,7 @@
 from cressrail.http1.errors import MalformedMessageError, RequestTimeoutError
 from cressrail.http1.request import RequestReader
 from cressrail.network.dispatcher import BUFFER_RETRY_US, PIPE_CHANGED, CommandDispatcher
+from cressrail.network.late_reads import request_arrived_us
 from cressrail.network.socket_stream import SocketStream
 from cressrail.network.stale_messages import discard_stale_messages
 
@@ -58,13 +59,20 @@
         return self.reader.request is not None
 
     def finish(self) -> None:
-        """Reports to the state machine that the request is complete, and closes the pipe."""
-        dispatcher = self.dispatcher
-        commands = dispatcher.state_machine.on_request_complete(
-            dispatcher.now(), self.client, self.stream.arrived_us
-        )
-        dispatcher.dispatch(commands)
-        self.pipe.close()
+        """Reports to the state machine that the request is complete, and closes the pipe.
+
+        The pipe is marked as failed instead if no response is wanted any more, so that the last part of the
+        request is not sent.
+        """
+        dispatcher, state_machine = self.dispatcher, self.dispatcher.state_machine
+        arrived_us = self.stream.arrived_us
+        if self.reader.request is not None:
+            arrived_us = request_arrived_us(dispatcher, self.stream, self.reader.request)
+        dispatcher.dispatch(state_machine.on_request_complete(dispatcher.now(), self.client, arrived_us))
+        if state_machine.awaits_response(self.client):
+            self.pipe.close()
+        else:
+            self.pipe.fail()
 
     def run(self) -> UploadState:
         """Receives until the request is complete, the client disconnects, or a message is posted."""
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -192,22 +192,23 @@
         self.requests.add(routed_request, pending)
         return self._apply_decisions(now_us, routed_request.route(now_us))
 
-    def complete(self, now_us: int, client: int, arrived_us: int) -> bool:
+    def complete(self, now_us: int, client: int, arrived_us: int) -> list[Command]:
         """Handles the last byte of a request that is forwarded while it arrives.
 
-        The request's time limit runs from `arrived_us`, when that byte arrived.
-
-        Returns:
-            Whether the request still waits for its response.
+        The request's time limit runs from `arrived_us`, when that byte arrived. If it is over, the request is
+        rejected: no endpoint has started it, since none has the last byte.
         """
         routed_request = self.clients.open[client].routed_request
         if routed_request is None or routed_request.is_finished:
-            return False
+            return []
         pending = self.requests.pending[routed_request]
-        self.clients.set_keep_alive(client, pending.request.keep_alive)
         limit_us = min(pending.time_limit_us, self.lifecycle.answer_deadline_us - now_us)
-        routed_request.start_clock(now_us, max(0, limit_us - (now_us - arrived_us)))
-        return True
+        remaining_us = limit_us - (now_us - arrived_us)
+        if remaining_us <= 0:
+            return self.abort(now_us, client, REJECTED_STATUS)
+        self.clients.set_keep_alive(client, pending.request.keep_alive)
+        routed_request.start_clock(now_us, remaining_us)
+        return []
 
     def abort(self, now_us: int, client: int, status: int) -> list[Command]:
         """Ends a request that was forwarded while it arrived, after its client failed to send the rest.
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -224,8 +224,7 @@
 
     def on_request_complete(self, now_us: int, client: int, arrived_us: int) -> list[Command]:
         """Handles the last byte of a request that is forwarded while it arrives."""
-        is_waiting = self.forwarder.complete(now_us, client, arrived_us)
-        return self._complete(now_us, []) if is_waiting else []
+        return self._complete(now_us, self.forwarder.complete(now_us, client, arrived_us))
 
     def on_request_aborted(self, now_us: int, client: int, status: int, reason: str) -> list[Command]:
         """Handles a request that is forwarded while it arrives and that its client fails to complete."""
@@ -257,6 +256,11 @@
         routed_request = self.clients.clear_request(client)
         return self._complete(now_us, self.forwarder.drop_request(now_us, routed_request))
 
+    def awaits_response(self, client: int) -> bool:
+        """Returns whether a client waits for the response to a request that has been forwarded."""
+        routed_request = self.clients.open[client].routed_request
+        return routed_request is not None and not routed_request.is_finished
+
     def is_full(self) -> bool:
         """Returns whether new clients may have to wait until another one closes."""
         return self.clients.is_full()
--- a/tests/network/test_request_upload.py
+++ b/tests/network/test_request_upload.py
@@ -9,6 +9,7 @@
 
 from cressrail.buffers.pipe import KEPT_BODY_BYTES
 from cressrail.network import request_upload
+from tests.network.support import ConnectGate
 from tests.support.http_messages import DECLINED_HEADER, chunk_bytes, request_bytes, response_bytes
 from tests.support.scripted_peer import Script, ScriptedPeer
 from tests.support.sidecar_harness import SidecarHarness
@@ -241,3 +242,37 @@
     harness.add_client(client)
     harness.run()
     assert responses == [HELLO]
+
+
+@pytest.mark.parametrize("has_client_left", [False, True], ids=["client-waits", "client-has-left"])
+@pytest.mark.parametrize("may_cancel", [True, False], ids=["may-cancel", "may-not-cancel"])
+def test_upload_whose_last_bytes_waited_unread_is_not_sent_late(
+    has_client_left: bool, may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against uploads that are run for nobody, or late: their end waited behind a full pipe."""
+    received: list[ReceivedRequest] = []
+    # 64 KiB are kept and as many fill the pipe; the rest fits into the receive buffer of the kernel.
+    body = LARGE_BODY[: 2 * KEPT_BODY_BYTES + 20_000]
+    endpoint = tolerating_disconnect(receive_requests(received, response_bytes(b"hello")))
+    harness = SidecarHarness([endpoint], may_cancel=may_cancel)
+    gate = ConnectGate(monkeypatch, lambda: harness.ports[0])
+    statuses: list[bytes] = []
+
+    def client(peer: ScriptedPeer) -> None:
+        deadline = "" if has_client_left else "100m"
+        peer.send(request_bytes(body=body, Req_Deadline=deadline))
+        peer.wait_until(lambda: gate.connects)
+        peer.sleep(20_000)  # until the pipe is full
+        if has_client_left:
+            peer.sock.close()
+        peer.sleep(200_000)
+        gate.is_open = True
+        if not has_client_left:
+            statuses.append(read_response(peer).status)
+        peer.wait_until(lambda: not harness.state_machine.attempts.in_flight)
+        peer.sleep(20_000)
+
+    harness.add_client(client)
+    harness.run()
+    assert statuses == ([] if has_client_left else [b"503"])
+    assert all(len(request.body) < len(body) for request in received)
