No upload goes on to its last byte once its client has left

Callers would see: a large request that ran although its client had closed, at once after its last bytes or long before.

Cause: the end of an upload was passed on without a look at the client, whose close may wait unread behind the last bytes; and where the settings allow no cancels, nothing stopped an upload that had been read whole while the endpoint read slowly.

Change: the client is looked at before the end is passed on; the attempt's task goes on only while somebody waits for the answer. Endpoints start a request with its last byte, so this cancels no work and needs no permission to cancel.

--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -134,6 +134,8 @@
         sender = PipeSender(pipe, self.request.is_chunked)
         try:
             while not sender.is_finished():
+                if not self.state_machine.is_attempt_wanted(self.command.attempt):
+                    return AttemptEnd(Outcome.CANCELLED, "client disconnected during the upload")
                 if sender.unsent and stream.send_some(sender.unsent):
                     continue
                 end = self._wait_during_upload(stream, sender)
--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -109,7 +109,7 @@
         if result is ReceptionResult.UPLOAD_STARTED:
             self.upload = self._reception.upload
             if self.upload is not None and self.upload.is_complete():
-                self._finish_upload(self.upload)
+                return self._finish_upload(self.upload)
         return True
 
     def _continue_upload(self, upload: RequestUpload) -> bool:
@@ -120,12 +120,16 @@
         if state is UploadState.ABORTED:
             self.upload, self._has_unread_input = None, True
         elif state is UploadState.COMPLETE:
-            self._finish_upload(upload)
+            return self._finish_upload(upload)
         return True
 
-    def _finish_upload(self, upload: RequestUpload) -> None:
+    def _finish_upload(self, upload: RequestUpload) -> bool:
+        """Passes on the end of a large request; False if the client has disconnected since it sent it."""
+        if self.stream.has_peer_closed():
+            return False
         self.upload = None
         upload.finish()
+        return True
 
     def _linger(self, span_us: int) -> None:
         """Shuts down the sending side and discards further input before the connection is closed.
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -279,6 +279,10 @@
         """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent."""
         return self.attempts.check_before_send(now_us, attempt)
 
+    def is_attempt_wanted(self, attempt: int) -> bool:
+        """Returns whether the request of an attempt still lacks its answer, and its client is there."""
+        return not self.attempts.in_flight[attempt].routed_request.is_finished
+
     def on_attempt_sent(self, now_us: int, attempt: int) -> None:
         """Handles the last byte of an attempt having been sent to its endpoint."""
         self.forwarder.on_attempt_sent(now_us, attempt)
--- a/tests/network/test_request_upload.py
+++ b/tests/network/test_request_upload.py
@@ -9,6 +9,7 @@
 
 from cressrail.buffers.pipe import KEPT_BODY_BYTES
 from cressrail.network import request_upload
+from cressrail.network.socket_stream import SocketStream
 from tests.network.support import ConnectGate
 from tests.support.http_messages import DECLINED_HEADER, chunk_bytes, request_bytes, response_bytes
 from tests.support.scripted_peer import Script, ScriptedPeer
@@ -276,3 +277,57 @@
     harness.run()
     assert statuses == ([] if has_client_left else [b"503"])
     assert all(len(request.body) < len(body) for request in received)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False], ids=["may-cancel", "may-not-cancel"])
+def test_end_of_upload_received_with_client_close_is_not_sent(may_cancel: bool) -> None:
+    """Guards against uploads that are run for nobody: the close was unread behind the last bytes."""
+    received: list[ReceivedRequest] = []
+    endpoint = tolerating_disconnect(receive_requests(received, response_bytes(b"hello")))
+    harness = SidecarHarness([endpoint], may_cancel=may_cancel)
+
+    def client(peer: ScriptedPeer) -> None:
+        request = request_bytes(body=DOUBLE_KEPT_BODY)
+        peer.send(request[:-10])
+        peer.wait_until(lambda: harness.state_machine.attempts.in_flight)
+        peer.sleep(50_000)
+        peer.send(request[-10:])
+        peer.sock.close()
+        peer.wait_until(lambda: not harness.state_machine.attempts.in_flight)
+        peer.sleep(20_000)
+
+    harness.add_client(client)
+    harness.run()
+    assert all(len(request.body) < len(DOUBLE_KEPT_BODY) for request in received)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False], ids=["may-cancel", "may-not-cancel"])
+def test_client_close_while_endpoint_reads_slowly_stops_upload(
+    may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against uploads whose last byte is sent long after the client has left."""
+    received: list[ReceivedRequest] = []
+    endpoint = tolerating_disconnect(receive_requests(received, response_bytes(b"hello")))
+    harness = SidecarHarness([endpoint], may_cancel=may_cancel)
+    reads_on: list[bool] = []
+    send_some = SocketStream.send_some
+
+    def send_if_read(stream: SocketStream, unsent: list[memoryview]) -> bool:
+        """The last part fills the send buffer until the endpoint reads on."""
+        is_last_part = sum(map(len, unsent)) < KEPT_BODY_BYTES
+        return send_some(stream, unsent) if reads_on or not is_last_part else False
+
+    def client(peer: ScriptedPeer) -> None:
+        peer.send(request_bytes(body=LARGE_BODY[: KEPT_BODY_BYTES + 20_000]))
+        peer.wait_until(lambda: harness.state_machine.attempts.in_flight)
+        peer.sleep(50_000)
+        peer.sock.close()
+        peer.wait_until(lambda: not harness.dispatcher.clients)
+        reads_on.append(True)
+        peer.wait_until(lambda: not harness.state_machine.attempts.in_flight)
+        peer.sleep(20_000)
+
+    monkeypatch.setattr(SocketStream, "send_some", send_if_read)
+    harness.add_client(client)
+    harness.run()
+    assert all(len(request.body) < KEPT_BODY_BYTES + 20_000 for request in received)
