A crowd amid its requests takes no more descriptors than allowed and holds nobody back

Cause: the listener went on while anybody might be closed, however many were still closing; a client told to close while idle that had begun a request stayed for good; one that had stopped amid its request was lingered over for 0.5 s; and since its silence counted from the kernel's time, one accepted with unread bytes looked silent before its task could read them.

Change: at most eight clients are accepted before those that they replace have closed; one that was replaced closes after its response; no lingering over one that has stopped while places are short; unread bytes are no silence, and a part of a request counts from when the kernel had it; amid a request 0.5 s of silence, not 1 s, lets a client be closed for another. Out of service the limit of 1 s stays, under its own name.

--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -102,8 +102,8 @@
             return False
         if result is ReceptionResult.CLIENT_LEFT:
             return False
-        if result is ReceptionResult.REFUSED:
-            self._has_unread_input = True
+        if result in (ReceptionResult.REFUSED, ReceptionResult.STALLED):
+            self._has_unread_input = result is ReceptionResult.REFUSED
             return True
         self._awaits_first_request = False
         if result is ReceptionResult.UPLOAD_STARTED:
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -154,7 +154,8 @@
             # The first request may have been waiting since then, and the kernel does not tell.
             client.stream.arrived_us = min(client.stream.arrived_us, self.queued_since_us)
         # Registered before its task is spawned, because the end of the task unregisters the client.
-        commands = dispatcher.state_machine.on_client_connected(now_us, number, now_us - (silent_us or 0))
+        silent_since_us = now_us if client.stream.has_input() else now_us - (silent_us or 0)
+        commands = dispatcher.state_machine.on_client_connected(now_us, number, silent_since_us)
         dispatcher.clients[number] = dispatcher.scheduler.spawn(client.run)
         dispatcher.client_streams[number] = client.stream
         dispatcher.dispatch(commands)
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -26,6 +26,7 @@
     RECEIVED = auto()  # the complete request was passed to the state machine
     UPLOAD_STARTED = auto()  # the request was passed on while the rest of its body is still to be received
     REFUSED = auto()  # an error response is sent, then the connection closes
+    STALLED = auto()  # the same, but the client has stopped sending, so that no more input is expected
     CLIENT_LEFT = auto()
     CLOSED_WHILE_IDLE = auto()  # the state machine requested it before a request started
 
@@ -113,15 +114,16 @@
         return self._reader
 
     def _note_progress(self, reader: RequestReader) -> None:
-        self._last_progress_us = self.dispatcher.now()
-        progress = self.state_machine.on_request_progress(self._last_progress_us, self.client)
-        self.dispatcher.dispatch(progress)
+        self._last_progress_us = self.stream.input_arrived_us()
+        self.dispatcher.dispatch(
+            self.state_machine.on_request_progress(self.dispatcher.now(), self.client, self._last_progress_us)
+        )
         if reader.incomplete_request is None or self._body is None:
             return
         steps = self._body.size // PROGRESS_STEP_BYTES + 1
         if steps > self._progress_steps:
             self._progress_steps = steps
-            self._until_us = self._last_progress_us + self.dispatcher.peer_timeout_us
+            self._until_us = self.dispatcher.now() + self.dispatcher.peer_timeout_us
 
     def _receive(self) -> ReceptionResult | None:
         """Receives once, or waits; returns None if the reception continues."""
@@ -154,7 +156,8 @@
             return ReceptionResult.CLOSED_WHILE_IDLE if count < 0 else None
         now_us = self.dispatcher.now()
         if self.state_machine.has_client_stalled(now_us, self._last_progress_us):
-            return self._refuse(REQUEST_TIMEOUT_STATUS, "client stopped sending in the middle of its request")
+            self._refuse(REQUEST_TIMEOUT_STATUS, "client stopped sending in the middle of its request")
+            return ReceptionResult.STALLED
         # The reception continues; the state machine may ask for the close again.
         self.dispatcher.dispatch(self.state_machine.on_request_started(now_us, self.client))
         return None
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -190,6 +190,10 @@
         """Returns whether the peer has closed or reset the connection, even if input is still unread."""
         return bool(self._pending_events() & ~READABLE)
 
+    def has_input(self) -> bool:
+        """Returns whether there is something to read: data, or the end of the stream."""
+        return bool(self._pending_events())
+
     def idle_state(self) -> IdleState:
         """Returns the state of an idle connection without consuming any input."""
         if not self._pending_events():
--- a/cressrail/proxy/clients.py
+++ b/cressrail/proxy/clients.py
@@ -2,27 +2,29 @@
 
 from __future__ import annotations
 
-from itertools import chain, islice
+from itertools import chain
 
 from cressrail.policy.routed_request import RoutedRequest
 from cressrail.proxy.commands import CloseClient
 from cressrail.proxy.connection_limits import ConnectionLimits
+from cressrail.proxy.lifecycle import NEVER_US
 
-# A client that has sent no byte for this long amid its request may be closed to make room for another one.
-CLIENT_STALL_US = 1_000_000
-# The same for a new client that has not begun its request. Below the usual deadlines of requests, because
-# those of others wait in the accept queue meanwhile.
-FIRST_BYTE_WAIT_US = 250_000
+# A client that has sent no byte for this long amid its request may be closed to make room for another one,
+# whose request waits in the accept queue meanwhile.
+CLIENT_STALL_US = 500_000
+FIRST_BYTE_WAIT_US = 250_000  # the same for a new client that has not begun its request
 # After this long it is closed even if there is room: services send their request as soon as they connect.
 CLIENT_SILENCE_LIMIT_US = 2_500_000
+SHORT_SILENCE_LIMIT_US = 1_000_000  # the same while idle clients may not stay
+MAX_CLOSING_CLIENTS = 8  # their descriptors come from those that are spare
 
 
 def silence_limit_us(keeps_idle_clients: bool) -> int:
     """Returns how long a client that is new, or in the middle of a request, may send no byte, in us.
 
-    It is `CLIENT_SILENCE_LIMIT_US` while idle clients may stay connected, and `CLIENT_STALL_US` otherwise.
+    It depends on whether idle clients may stay connected.
     """
-    return CLIENT_SILENCE_LIMIT_US if keeps_idle_clients else CLIENT_STALL_US
+    return CLIENT_SILENCE_LIMIT_US if keeps_idle_clients else SHORT_SILENCE_LIMIT_US
 
 
 class Client:
@@ -30,6 +32,8 @@
 
     Attributes:
         keep_alive: Whether the connection may carry a request after the current one.
+        is_replaced: Whether another client was accepted in its place. Its connection closes, if a request has
+            begun in the meantime after the response.
         is_over_limit: Whether the client connected beyond the connection limit; its requests are answered
             with 503 instead of being forwarded.
         routed_request: The request whose response the client waits for, if any.
@@ -37,6 +41,7 @@
 
     def __init__(self) -> None:
         self.keep_alive = True
+        self.is_replaced = False
         self.is_over_limit = False
         self.routed_request: RoutedRequest | None = None
 
@@ -50,7 +55,7 @@
         unstarted: New clients of which no byte has been read, each with the time in us since which it has
             sent none, in the order in which they connected.
         receiving: Clients in the middle of a request, each with the time in us since which it has sent no
-            byte. The client that has been silent longest comes first.
+            byte.
     """
 
     def __init__(self, limits: ConnectionLimits) -> None:
@@ -68,7 +73,7 @@
         Args:
             now_us: The current time.
             client: The client's id.
-            silent_since_us: When the client connected, or last sent bytes that are still unread.
+            silent_since_us: When the client connected; `now_us` if it has sent something since.
         """
         connected = self.open[client] = Client()
         closed = None
@@ -77,6 +82,7 @@
             if closable is None:
                 connected.is_over_limit = True
             else:
+                self.open[closable].is_replaced = True
                 closed = self.close_if_idle(closable)
         self.unstarted[client] = silent_since_us
         return closed
@@ -87,10 +93,10 @@
             self.idle.pop(client, None)
             self.receiving[client] = self.unstarted.pop(client, now_us)
 
-    def record_progress(self, now_us: int, client: int) -> None:
+    def record_progress(self, arrived_us: int, client: int) -> None:
         """Records more bytes of a request: slow clients are closed after those that have stopped sending."""
-        if self.receiving.pop(client, None) is not None:
-            self.receiving[client] = now_us
+        if client in self.receiving:
+            self.receiving[client] = arrived_us
 
     def finish_receiving(self, client: int) -> None:
         """Stops checking the client for silence: its request is complete, or forwarded while it arrives."""
@@ -135,16 +141,18 @@
         if self.idle:
             return next(iter(self.idle))
         for silent, limit_us in ((self.unstarted, FIRST_BYTE_WAIT_US), (self.receiving, CLIENT_STALL_US)):
-            oldest = next(iter(silent), None)
-            if oldest is not None and silent[oldest] + limit_us <= now_us:
-                return oldest
+            if silent:
+                oldest = min(silent, key=silent.__getitem__)
+                if silent[oldest] + limit_us <= now_us:
+                    return oldest
         return None
 
-    def closable_from_us(self) -> int | None:
-        """Returns when a silent client may be closed to make room; None if there is no such client."""
-        times_us = [since_us + FIRST_BYTE_WAIT_US for since_us in islice(self.unstarted.values(), 1)]
-        times_us += [since_us + CLIENT_STALL_US for since_us in islice(self.receiving.values(), 1)]
-        return min(times_us, default=None)
+    def closable_from_us(self) -> int:
+        """Returns when a silent client may be closed to make room; `NEVER_US` if there is no such client."""
+        return min(
+            min(self.unstarted.values(), default=NEVER_US) + FIRST_BYTE_WAIT_US,
+            min(self.receiving.values(), default=NEVER_US) + CLIENT_STALL_US,
+        )
 
     def close_if_idle(self, client: int) -> CloseClient:
         """Returns the command to close a client unless it has begun to send a request in the meantime."""
@@ -161,23 +169,24 @@
         silent = [client for client, since_us in owing if since_us + limit_us <= now_us]
         return [self.close_if_idle(client) for client in silent]
 
-    def silent_since_us(self) -> int | None:
+    def silent_since_us(self) -> int:
         """Returns the time since which the longest silent client that owes a request has sent no byte.
 
         Returns:
-            The time in microseconds; None if no client owes a request.
+            The time in microseconds; `NEVER_US` if no client owes a request.
         """
-        if not self.unstarted and not self.receiving:
-            return None
-        return min(next(iter(silent.values())) for silent in (self.unstarted, self.receiving) if silent)
+        return min(
+            min(self.unstarted.values(), default=NEVER_US), min(self.receiving.values(), default=NEVER_US)
+        )
 
     def is_full(self) -> bool:
         """Returns whether new clients may have to wait until another one closes."""
         return len(self.open) >= self.limits.clients
 
     def may_accept(self, now_us: int) -> bool:
-        """Returns whether another client can be accepted: there is room, or one may be closed for it."""
-        return (
-            len(self.open) < self.limits.clients + self.limits.extra_clients
-            or self.find_closable(now_us) is not None
-        )
+        """Returns whether another client can be accepted: there is room, or one may be closed for it.
+
+        At most `MAX_CLOSING_CLIENTS` are accepted in place of others before those have closed.
+        """
+        excess = len(self.open) - self.limits.clients - self.limits.extra_clients
+        return excess < 0 or (excess < MAX_CLOSING_CLIENTS and self.find_closable(now_us) is not None)
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -149,7 +149,12 @@
 
     def closes_after_response(self, client: Client) -> bool:
         """Returns whether the client's connection closes after the response that is sent now."""
-        return self.lifecycle.rules.closes_after_response or client.is_over_limit or not client.keep_alive
+        return (
+            self.lifecycle.rules.closes_after_response
+            or client.is_over_limit
+            or client.is_replaced
+            or not client.keep_alive
+        )
 
     def reply(
         self, client: int, status: int, body: BufferChain | None, request_class: str | None = None
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -197,7 +197,7 @@
         Args:
             now_us: The current time.
             client: The client's id.
-            silent_since_us: When the client connected, or last sent bytes that are still unread.
+            silent_since_us: When the client connected; `now_us` if it has sent something since.
         """
         self.lifecycle.record_client(now_us)
         closed = self.clients.connect(now_us, client, silent_since_us)
@@ -209,9 +209,9 @@
         self.clients.start_receiving(now_us, client)
         return self._complete(now_us, [])
 
-    def on_request_progress(self, now_us: int, client: int) -> list[Command]:
-        """Handles further bytes of a request."""
-        self.clients.record_progress(now_us, client)
+    def on_request_progress(self, now_us: int, client: int, arrived_us: int) -> list[Command]:
+        """Handles further bytes of a request, which arrived at `arrived_us`."""
+        self.clients.record_progress(arrived_us, client)
         return self._complete(now_us, [])
 
     def has_client_stalled(self, now_us: int, last_progress_us: int) -> bool:
--- a/cressrail/proxy/timers.py
+++ b/cressrail/proxy/timers.py
@@ -61,10 +61,8 @@
                 next_us = min(next_us, lifecycle.answer_deadline_us)
         if lifecycle.is_out_of_service:
             next_us = min(next_us, lifecycle.idle_close_us)
-        silent_since_us = self.clients.silent_since_us()
-        if silent_since_us is not None:
-            next_us = min(next_us, silent_since_us + silence_limit_us(lifecycle.rules.keeps_idle_clients))
+        silence_us = silence_limit_us(lifecycle.rules.keeps_idle_clients)
+        next_us = min(next_us, self.clients.silent_since_us() + silence_us)
         if lifecycle.rules.accepts_clients and not lifecycle.is_accepting:
-            closable_us = self.clients.closable_from_us()
-            next_us = next_us if closable_us is None else min(next_us, closable_us)
+            next_us = min(next_us, self.clients.closable_from_us())
         return next_us
--- a/tests/network/test_waiting_requests.py
+++ b/tests/network/test_waiting_requests.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cressrail.proxy import commands
+from cressrail.proxy.clients import MAX_CLOSING_CLIENTS
 from tests.network.support import FailingListener, RecordingEndpoint, read_status
 from tests.support.http_messages import request_bytes
 from tests.support.scripted_peer import ScriptedPeer
@@ -121,25 +122,36 @@
     assert not endpoint.heads
 
 
-def test_request_behind_a_crowd_of_silent_clients_is_answered_in_time() -> None:
-    """Guards against a crowd that holds requests back in the accept queue until their time is over."""
+@pytest.mark.parametrize("sent", [b"", b"POST /api HTTP/1.1\r\nReq-"], ids=["silent", "half-written"])
+def test_request_behind_a_crowd_of_clients_is_answered_in_time(sent: bytes) -> None:
+    """Guards against a crowd that holds requests back until their time is over, or takes all descriptors."""
     endpoint = RecordingEndpoint()
     harness = SidecarHarness([endpoint])
-    limits = harness.state_machine.limits
-    limits.clients, limits.extra_clients = 4, 1
+    machine = harness.state_machine
+    machine.limits.clients, machine.limits.extra_clients = 4, 1
+    on_client_connected = machine.on_client_connected
+    open_clients: list[int] = []
     statuses: list[bytes] = []
 
+    def connect_and_count(now_us: int, client: int, silent_since_us: int) -> list[commands.Command]:
+        open_clients.append(len(machine.clients.open) + 1)
+        return on_client_connected(now_us, client, silent_since_us)
+
     def client(peer: ScriptedPeer) -> None:
-        crowd = [socket.create_connection(harness.address) for _ in range(4 * limits.clients)]
+        crowd = [socket.create_connection(harness.address) for _ in range(40)]
+        for sock in crowd:
+            sock.sendall(sent)
         waiting = socket.create_connection(harness.address)
-        waiting.sendall(request_bytes(Req_Deadline="700m"))
+        waiting.sendall(request_bytes(Req_Deadline="800m"))
         statuses.append(read_status(ScriptedPeer(peer.scheduler, waiting)))
         for sock in [*crowd, waiting]:
             sock.close()
 
+    machine.on_client_connected = connect_and_count  # type: ignore[method-assign]
     harness.add_client(client)
     harness.run()
     assert statuses == [b"200"]
+    assert max(open_clients) <= machine.limits.clients + machine.limits.extra_clients + MAX_CLOSING_CLIENTS
 
 
 def test_request_unread_during_the_one_before_it_is_not_sent_late() -> None:
--- a/tests/proxy/test_admin.py
+++ b/tests/proxy/test_admin.py
@@ -6,7 +6,7 @@
 
 from cressrail.policy.outcome import Outcome
 from cressrail.proxy import admin, commands
-from cressrail.proxy.clients import CLIENT_STALL_US
+from cressrail.proxy.clients import SHORT_SILENCE_LIMIT_US
 from cressrail.proxy.lifecycle import OUT_OF_SERVICE_IDLE_US
 from tests.proxy.support import ProxyDriver, admin_status
 from tests.support.configuration import SECOND
@@ -54,7 +54,7 @@
     driver.finish_attempt(driver.take_attempt(), Outcome.SUCCEEDED, 2 * SECOND)
     assert driver.take_commands(commands.SendResponse)[0].closes_connection
     driver.connect_client(4, 2 * SECOND)  # a client that sends nothing is closed
-    driver.commands += driver.state_machine.on_timer(2 * SECOND + CLIENT_STALL_US)
+    driver.commands += driver.state_machine.on_timer(2 * SECOND + SHORT_SILENCE_LIMIT_US)
     assert [close.client for close in driver.take_commands(commands.CloseClient)] == [4]
     assert admin_status(driver, admin.IN_SERVICE_PATH, 2 * SECOND) == 200
     assert driver.state_machine.is_healthy(2 * SECOND)
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -4,8 +4,14 @@
 
 import pytest
 
+from cressrail.policy.outcome import Outcome
 from cressrail.proxy import commands
-from cressrail.proxy.clients import CLIENT_SILENCE_LIMIT_US, CLIENT_STALL_US, FIRST_BYTE_WAIT_US
+from cressrail.proxy.clients import (
+    CLIENT_SILENCE_LIMIT_US,
+    CLIENT_STALL_US,
+    FIRST_BYTE_WAIT_US,
+    MAX_CLOSING_CLIENTS,
+)
 from cressrail.proxy.commands import Command
 from tests.proxy.support import ProxyDriver
 from tests.support.configuration import SECOND
@@ -65,12 +71,36 @@
     assert driver.take_commands(commands.CloseClient) == closed
 
 
+def test_client_that_was_replaced_closes_after_the_request_that_it_had_begun() -> None:
+    driver = ProxyDriver(max_clients=1, has_list=True)
+    driver.connect_idle_client(1)
+    driver.connect_client(2)
+    assert driver.take_commands(commands.CloseClient) == [commands.CloseClient(1, True)]
+    driver.send_request(1)
+    driver.finish_attempt(driver.take_attempt(), Outcome.SUCCEEDED)
+    [response] = driver.take_commands(commands.SendResponse)
+    assert (response.client, response.closes_connection) == (1, True)
+    driver.release_buffers()
+
+
+def test_listener_pauses_while_clients_that_were_replaced_close() -> None:
+    driver = ProxyDriver(max_clients=8, has_list=True)
+    first_new = 8 + driver.state_machine.limits.extra_clients + MAX_CLOSING_CLIENTS
+    for client in range(first_new):
+        driver.connect_idle_client(client)
+        accepts = driver.take_commands(commands.AcceptClients)
+        assert commands.AcceptClients(False) not in accepts or client == first_new - 1
+    assert not driver.state_machine.lifecycle.is_accepting
+    driver.commands += driver.state_machine.on_client_closed(0, 0)
+    assert driver.take_commands(commands.AcceptClients) == [commands.AcceptClients(True)]
+
+
 def test_client_stalled_longest_closes_first() -> None:
     driver = ProxyDriver(max_clients=2)
     for client in (1, 2):
         driver.connect_client(client)
         driver.state_machine.on_request_started(0, client)
-    driver.state_machine.on_request_progress(SECOND, 1)  # client 1 is slow but still sends
+    driver.state_machine.on_request_progress(SECOND, 1, SECOND)  # client 1 is slow but still sends
     driver.connect_client(3, now=CLIENT_STALL_US)
     assert driver.take_commands(commands.CloseClient) == [commands.CloseClient(2, True)]
     driver.connect_client(4, now=CLIENT_STALL_US + 1)
@@ -99,6 +129,6 @@
 @pytest.mark.parametrize(
     ("silent_us", "has_stalled"), [(0, False), (CLIENT_STALL_US - 1, False), (CLIENT_STALL_US, True)]
 )
-def test_client_has_stalled_after_a_second_without_a_byte(silent_us: int, has_stalled: bool) -> None:
+def test_client_has_stalled_after_the_limit_without_a_byte(silent_us: int, has_stalled: bool) -> None:
     state_machine = ProxyDriver().state_machine
     assert state_machine.has_client_stalled(SECOND + silent_us, last_progress_us=SECOND) is has_stalled
