Configuration: a port that is no decimal number is refused in one line, by one check

Seen: `h:²` or a port of 5,000 digits as an address ended in a traceback in place of one line.

Cause: the check of a port stood three times; two of them took any text that str.isdigit accepts and passed it to int.

Change: parse_port in configuration/addresses.py, which all three use: ASCII digits, five at most, from 1 to 65535.

--- a/cressrail/cli/output.py
+++ b/cressrail/cli/output.py
@@ -7,12 +7,13 @@
 
 import orjson
 
+from cressrail.configuration.addresses import MAX_PORT, parse_port
+
 if TYPE_CHECKING:  # not imported at run time, because `serve` does not need it
     from pathlib import Path
 
 STATUS_FAILED = 1  # a system call or a query of another process failed
 STATUS_UNUSABLE = 2  # an argument or a configuration is invalid
-MAX_PORT = 65_535
 MAX_SHOWN_CHARACTERS = 60  # part of an invalid address that is quoted in a message
 
 
@@ -53,9 +54,10 @@
     Raises:
         ValueError: The text is not a valid HOST:PORT.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    host, _, port_text = text.rpartition(":")
+    port = parse_port(port_text)
+    if not host or port is None:
         raise ValueError(
             f"address is not HOST:PORT with a port from 1 to {MAX_PORT}: {text[:MAX_SHOWN_CHARACTERS]}"
         )
-    return host.strip("[]"), int(port)
+    return host.strip("[]"), port
--- a/cressrail/configuration/addresses.py
+++ b/cressrail/configuration/addresses.py
@@ -7,9 +7,18 @@
 from cressrail.configuration.settings_reader import ConfigurationError
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 MAX_SHOWN_CHARS = 60  # part of an invalid address that is quoted in an error message
 
 
+def parse_port(text: str) -> int | None:
+    """Returns the TCP or UDP port that the text denotes; None if it is not a port from 1 to `MAX_PORT`."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_PORT_DIGITS:
+        return None
+    port = int(text)
+    return port if 0 < port <= MAX_PORT else None
+
+
 def read_host_port(path: str, text: str) -> tuple[str, int]:
     """Returns the host and the port of a TCP address; the host may be a host name.
 
@@ -20,12 +29,13 @@
     Raises:
         ConfigurationError: The text is not a valid host:port.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    host, _, port_text = text.rpartition(":")
+    port = parse_port(port_text)
+    if not host or port is None:
         raise ConfigurationError(
             path, f"is not host:port with a port from 1 to {MAX_PORT}: {text[:MAX_SHOWN_CHARS]}"
         )
-    return host.strip("[]"), int(port)
+    return host.strip("[]"), port
 
 
 def read_ip_port(path: str, text: str) -> tuple[str, int]:
@@ -40,14 +50,14 @@
     Raises:
         ConfigurationError: The text is not a valid address:port.
     """
-    host, _, port = text.rpartition(":")
+    host, _, port_text = text.rpartition(":")
     host = host.strip("[]")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
-    if not is_port or not _is_ip_address(host):
+    port = parse_port(port_text)
+    if port is None or not _is_ip_address(host):
         raise ConfigurationError(
             path, f"is not IP-address:port with a port from 1 to {MAX_PORT}: {text[:MAX_SHOWN_CHARS]}"
         )
-    return host, int(port)
+    return host, port
 
 
 def _is_ip_address(host: str) -> bool:
--- a/tests/configuration/test_startup.py
+++ b/tests/configuration/test_startup.py
@@ -41,6 +41,12 @@
     ("seed", "xyz", "seed is not a hexadecimal number: xyz"),
     ("seed", None, "seed is missing"),
     ("listen", "here", "listen is not host:port with a port from 1 to 65535: here"),
+    ("listen", "h:²", "listen is not host:port with a port from 1 to 65535: h:²"),
+    (
+        "listen",
+        "h:" + "9" * 5000,
+        "listen is not host:port with a port from 1 to 65535: h:" + "9" * 58,
+    ),
     ("listen", "1.2.3.4:99999", "listen is not host:port with a port from 1 to 65535: 1.2.3.4:99999"),
     ("discovery", None, "discovery is missing"),
     ("limits.sockets", "many", "limits.sockets is not a whole number: many"),
