Hand-over: a state without a list of open requests, or a frame that is no JSON, is refused

Seen by reading, noted in the roadmap: such a state raised TypeError after the policy had been restored; such a frame raised orjson.JSONDecodeError in place of HandoverError.

Change: the list is checked before anything is restored, and the log says state_rejected; the frame raises MalformedFrameError.

Measured: tests/handover/test_frame.py (row body-not-json) and test_takeover_without_a_list_of_open_requests_restores_nothing pass.

--- a/cressrail/handover/frame.py
+++ b/cressrail/handover/frame.py
@@ -79,7 +79,6 @@
 
         Raises:
             HandoverError: The received bytes are not a valid frame of this version.
-            orjson.JSONDecodeError: The body of the frame is not valid JSON.
         """
         if len(self._received) < HEADER.size:
             return None
@@ -100,7 +99,10 @@
             raise MalformedFrameError(
                 f"CRC-32 of the hand-over frame's {size}-byte body does not match its header"
             )
-        fields = orjson.loads(body)
+        try:
+            fields = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise MalformedFrameError(f"hand-over frame's body is not JSON: {error}") from None
         if not isinstance(fields, dict) or not isinstance(fields.get(KIND), str):
             raise MalformedFrameError(
                 f"hand-over frame's body is not a JSON object with a string member {KIND!r}"
--- a/cressrail/proxy/process_handover.py
+++ b/cressrail/proxy/process_handover.py
@@ -58,12 +58,15 @@
         Returns:
             The command to log the result.
         """
+        request_ids = state.get(OPEN_REQUEST_IDS, [])
+        if not isinstance(request_ids, list):
+            return LogEvent(events.TOOK_OVER, {"state_rejected": f"{OPEN_REQUEST_IDS} is not a list"})
         try:
             handover_state.restore(state, self.load_balancer, self.registry.names(), now_us)
         except HandoverError as fault:
             return LogEvent(events.TOOK_OVER, {"state_rejected": str(fault)})
         until_us = now_us + self.lifecycle.max_deadline_us
-        self.requests.add_predecessor_ids(state.get(OPEN_REQUEST_IDS, []), until_us)
+        self.requests.add_predecessor_ids(request_ids, until_us)
         if state.get(IS_OUT_OF_SERVICE) is True:
             self.lifecycle.inherit_out_of_service(now_us)
         counts = {"open": len(self.requests.predecessor_ids), "clients": clients_held}
--- a/tests/handover/test_frame.py
+++ b/tests/handover/test_frame.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from zlib import crc32
+
 import pytest
 
 from cressrail.handover.frame import (
@@ -33,6 +35,7 @@
         pytest.param(HEADER.pack(MAGIC, VERSION + 1, 2, 0) + b"{}", id="other-version"),
         pytest.param(HEADER.pack(MAGIC, VERSION, 2, 1) + b"{}", id="wrong-checksum"),
         pytest.param(HEADER.pack(MAGIC, VERSION, 1 << 30, 0), id="body-too-long"),
+        pytest.param(HEADER.pack(MAGIC, VERSION, 2, crc32(b"{]")) + b"{]", id="body-not-json"),
         pytest.param(encode_frame(FrameKind.TAKE_OVER, {})[:-2] + b"x}", id="damaged-body"),
     ],
 )
--- a/tests/handover/test_takeover.py
+++ b/tests/handover/test_takeover.py
@@ -121,6 +121,15 @@
     assert successor.take_commands(commands.AcceptClients) == [commands.AcceptClients(True)]
 
 
+def test_takeover_without_a_list_of_open_requests_restores_nothing() -> None:
+    predecessor, successor = ProxyDriver(), successor_driver()
+    send_successes(predecessor.state_machine.load_balancer)
+    state = {**hand_over(predecessor), "open": 5}
+    successor.commands = successor.state_machine.take_over(SECOND, state, 0, 0)
+    assert not successor.state_machine.load_balancer.budget.request_times_us
+    assert successor.take_commands(commands.AcceptClients) == [commands.AcceptClients(True)]
+
+
 def test_two_processes_share_one_retry_budget_and_slow_start_credit() -> None:
     driver = ProxyDriver()
     send_successes(driver.state_machine.load_balancer)
