Load: a trace with a negative time is refused, in one line that names the row

Cause: -1 stood for "no row yet", so a first row with time_us -1 was taken for none, and the times counted from the second.

Change: a negative time is malformed, as a decreasing one is.

Measured: the row "negative time" of tests/load/test_trace.py failed before and passes.

--- a/cressrail/load/trace.py
+++ b/cressrail/load/trace.py
@@ -147,6 +147,8 @@
         )
     if not 0 <= body_bytes <= MAX_BODY_BYTES:
         raise ValueError(f"size must be between 0 and {MAX_BODY_BYTES}: {body_bytes}")
+    if time_us < 0:
+        raise ValueError(f"time_us must not be negative: {time_us}")
     if time_us < latest_us:
         raise ValueError(f"time_us must not decrease: {time_us} after {latest_us}")
     return TraceRow(time_us, request_class, tenant, body_bytes, str(fields.get(KEY) or ""))
--- a/tests/load/test_trace.py
+++ b/tests/load/test_trace.py
@@ -35,6 +35,12 @@
             "row 3: time_us must not decrease: 4 after 5",
             id="time decreases",
         ),
+        pytest.param(
+            "t.csv",
+            f"{CSV_HEADER}-1,read,a,0\n",
+            "row 2: time_us must not be negative: -1",
+            id="negative time",
+        ),
         pytest.param(
             "t.csv",
             f"{CSV_HEADER}5,read,a,-1\n",
