Experiments: the report escapes the names of variants once

Seen: a variant named a<b stood as a&amp;lt;b in the head of the table of figures.

Cause: the header was escaped by its section and again by the table.

Change: the table alone escapes it.

Measured: test_name_of_variant_is_escaped_once failed before and passes; names without special characters give the same page.

--- a/cressrail/experiment/html_report.py
+++ b/cressrail/experiment/html_report.py
@@ -81,9 +81,8 @@
 
 def _figures_section(result: ExperimentResult) -> str:
     header, *rows = build_figures_table(result)
-    # Header cells are escaped here like other cells, and a second time when `_table_html` escapes the header.
     escaped = [[escape(cell) for cell in row] for row in rows]
-    return "<h2>Figures</h2>" + _table_html([escape(cell) for cell in header], escaped)
+    return "<h2>Figures</h2>" + _table_html(header, escaped)
 
 
 def _differences_section(result: ExperimentResult) -> str:
--- a/tests/experiment/test_html_report.py
+++ b/tests/experiment/test_html_report.py
@@ -47,6 +47,15 @@
     assert "<twice>" not in page
 
 
+def test_name_of_variant_is_escaped_once(result: ExperimentResult) -> None:
+    result["arms"] = {"a<b": result["arms"]["own"], "other": result["arms"]["other"]}
+
+    page = render_report(result)
+
+    assert "<th>a&lt;b</th>" in page
+    assert "&amp;lt;" not in page
+
+
 def test_page_loads_no_external_resources(result: ExperimentResult) -> None:
     page = render_report(result)
 
