Experiments: a tenant's share of its quota is at most one

Cause: requests in time were divided by the quota also where the tenant sent more than its quota and all came in time.

Change: the share is cut at 1.

--- a/cressrail/experiment/figures.py
+++ b/cressrail/experiment/figures.py
@@ -178,7 +178,7 @@
         by_tenant[request.tenant].append(request.is_in_time)
     return min(
         (
-            sum(is_in_time) / min(len(is_in_time), quotas_per_s[tenant] * scenario.duration_s)
+            min(1.0, sum(is_in_time) / min(len(is_in_time), quotas_per_s[tenant] * scenario.duration_s))
             for tenant, is_in_time in by_tenant.items()
             if quotas_per_s.get(tenant)
         ),
--- a/tests/experiment/test_figures.py
+++ b/tests/experiment/test_figures.py
@@ -26,6 +26,12 @@
     assert figures["worst_due"] == 1.0  # two requests offered, quota for three, two in time
 
 
+def test_quota_share_of_a_tenant_over_its_quota_is_at_most_one() -> None:
+    figures = compute_figures(experiment(), run_of_first_requests(3), {"acme": 0.1})
+
+    assert figures["worst_due"] == 1.0  # two requests in time, quota for 0.3
+
+
 @pytest.mark.parametrize(
     ("goodput", "seconds"),
     [
