--- a/tests/tools/test_regress.py
+++ b/tests/tools/test_regress.py
@@ -328,15 +328,29 @@
             'arguments = []\nquick = "1"\nfull = 1\n',
             "panels.0.quick is missing, or not of type int",
         ),
+        (
+            '[whole]\nbench = "bench"\nsite = "s.toml"\n[[whole.days]]\nseeds = [1]\nquick = 1\nfull = 1\n',
+            "whole.days.0.day is missing, or not of type str",
+        ),
+        (
+            '[whole]\nbench = "bench"\nsite = "s.toml"\n[[whole.days]]\nday = "d"\nseeds = [1]\nfull = 1\n',
+            "whole.days.0.quick is missing, or not of type int",
+        ),
         (
             '[[panels]]\nname = "x"\nbench = "bench"\nsites = ["none.toml"]\n'
             "arguments = []\nquick = 1\nfull = 1\n",
             "none.toml: no such file",
         ),
     ],
-    ids=["sites of another type", "quick of another type", "no such site"],
+    ids=[
+        "sites of another type",
+        "quick of another type",
+        "whole day without a day",
+        "whole day without quick",
+        "no such site",
+    ],
 )
-def test_unusable_panel_is_reported_in_one_line_on_stderr(
+def test_unusable_table_is_reported_in_one_line_on_stderr(
     tmp_path: Path, table: str, expected_error: str
 ) -> None:
     completed = run_regress(tmp_path, str(make_kit(tmp_path, "0.9", more_figures=table)))
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -43,6 +43,8 @@
     "seeds": list,
 }
 
+WHOLE_DAY_KEY_TYPES: dict[str, type] = {"day": str, "quick": int, "full": int, "seeds": list}
+
 # A table of tools/regress.toml, checked by `read_figures`.
 Table = dict[str, Any]
 
@@ -200,18 +202,25 @@
     if not isinstance(figures.get("margin"), float) or not figures.get("day"):
         raise RegressionSetupError(f"{path}: margin is not a float, or the file has no day")
     for index, row in enumerate(figures.get("whole", {}).get("days", [])):
-        seeds = row.get("seeds")
-        if not (isinstance(seeds, list) and seeds and all(isinstance(seed, int) for seed in seeds)):
+        check_key_types(f"{path}: whole.days.{index}", row, WHOLE_DAY_KEY_TYPES)
+        if not row["seeds"] or not all(isinstance(seed, int) for seed in row["seeds"]):
             raise RegressionSetupError(f"{path}: whole.days.{index}.seeds is not a list of integers")
     for index, row in enumerate(figures.get("panels", [])):
-        for key, expected_type in PANEL_KEY_TYPES.items():
-            if not isinstance(row.get(key, [] if key == "seeds" else None), expected_type):
-                raise RegressionSetupError(
-                    f"{path}: panels.{index}.{key} is missing, or not of type {expected_type.__name__}"
-                )
+        check_key_types(f"{path}: panels.{index}", {"seeds": [], **row}, PANEL_KEY_TYPES)
     return figures
 
 
+def check_key_types(label: str, row: Table, types: dict[str, type]) -> None:
+    """Checks that a table has a value of the expected type for each key.
+
+    Raises:
+        RegressionSetupError: A key is missing or has a wrong type; the message names it after `label`.
+    """
+    for key, expected_type in types.items():
+        if not isinstance(row.get(key), expected_type):
+            raise RegressionSetupError(f"{label}.{key} is missing, or not of type {expected_type.__name__}")
+
+
 def panel_sites(kit: Path, panel: Table) -> list[Path]:
     """Returns the paths of a panel's site files."""
     return [Path(site) if site.startswith(REPOSITORY_SITES_PREFIX) else kit / site for site in panel["sites"]]
