--- a/tests/tools/test_regress.py
+++ b/tests/tools/test_regress.py
@@ -18,7 +18,8 @@
     """Creates a copy of the tool and a kit with one day, whose bench records this score in the journal."""
     (folder / "tools").mkdir()
     (folder / "journal").mkdir()
-    (folder / "tools" / TOOL.name).write_text(TOOL.read_text())
+    for module in TOOL.parent.glob("regress*.py"):
+        (folder / "tools" / module.name).write_text(module.read_text())
     (folder / "tools" / "regress.toml").write_text(
         'margin = 0.03\n[[day]]\nname = "one"\nbench = "bench"\nsite = "s.toml"\nquick = 0.5\nfull = 0.9\n'
         + more_figures
