--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -40,6 +40,7 @@
 MIN_FULL_POLL_INTERVAL_US = 2_000
 MAX_VITAL_FAULTS = 8  # the loop ends when a vital task has failed this often within the window
 VITAL_FAULT_WINDOW_US = 10_000_000
+LONG_ROUND_US = 100_000  # a round that took longer is reported
 
 
 class Task:
@@ -81,6 +82,8 @@
 
     Attributes:
         after_round: Callback that runs after each round, outside any task.
+        on_long_round: Called after a round that took longer than `LONG_ROUND_US`, with its duration in us
+            and the number of tasks that ran in it: nothing else was served meanwhile.
         is_stopped: Whether `run` is to return once the running task blocks or ends.
         has_failed: Whether the loop stopped because a vital task failed too often.
         current: The running task; None between rounds.
@@ -98,6 +101,7 @@
         self.now = now
         self.on_fault = on_fault
         self.after_round: Callable[[], None] = lambda: None
+        self.on_long_round: Callable[[int, int], None] = lambda _duration_us, _tasks: None
         self.busy_poll, self.full_poll = select.poll(), select.poll()
         self.busy_masks: dict[int, int] = {}  # descriptor -> mask that it is registered with
         self.full_masks: dict[int, int] = {}
@@ -115,6 +119,7 @@
         self.hub = getcurrent()
         self.current: Task | None = None
         self.round_started_us = self.earliest_event_us = now()
+        self.round_tasks = 0
 
     def spawn(self, work: Callable[[], None], has_priority: bool = False, is_vital: bool = False) -> Task:
         """Creates a task that starts in the next round.
@@ -228,10 +233,12 @@
 
     def run(self) -> None:
         """Runs rounds until `is_stopped` is set."""
+        self.round_started_us = self.now()
         while not self.is_stopped:
             self._poll()
             # Tasks that become ready during this loop run after the next poll.
-            for _ in range(len(self.ready)):
+            self.round_tasks = len(self.ready)
+            for _ in range(self.round_tasks):
                 task, result = self.ready.popleft()
                 self.current = task
                 task.greenlet.switch(result)
@@ -243,6 +250,8 @@
     def _poll(self) -> None:
         """Polls once, and wakes the tasks whose descriptors are ready or whose timers have expired."""
         before_us = self.now()
+        if before_us - self.round_started_us > LONG_ROUND_US:
+            self.on_long_round(before_us - self.round_started_us, self.round_tasks)
         wait_us = self._time_to_wait_us(before_us)
         self._remove_idle_descriptors(before_us)
         has_many_idle = len(self.full_masks) - len(self.busy_masks) > MAX_IDLE_IN_ONE_POLL
--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -149,6 +149,11 @@
         self.expects_continue = False
         self._body: BodyReader | None = None
 
+    @property
+    def received_body_bytes(self) -> int:
+        """Number of bytes of the body's content received so far."""
+        return self._body.received_bytes if self._body is not None else 0
+
     def feed(self, data: memoryview) -> int:
         """Parses received bytes.
 
--- a/cressrail/logs/events.py
+++ b/cressrail/logs/events.py
@@ -23,10 +23,12 @@
 REQUEST_FAILED = "request_failed"
 REQUEST_READ_LATE = "request_read_late"
 REQUEST_REJECTED = "request_rejected"
+ROUND_TOOK_LONG = "round_took_long"
 START = "start"
 STOPPING = "stopping"
 SUCCESSOR_FAILED = "successor_failed"
 TOOK_OVER = "took_over"
+UPLOAD_STALLED = "upload_stalled"
 WATCH_ENDED = "watch_ended"
 
 # Names in logs of earlier versions, which `cressrail load record` still reads.
--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -6,13 +6,16 @@
 
 from cressrail.buffers.pipe import Pipe
 from cressrail.buffers.pool import BufferPoolExhaustedError
-from cressrail.event_loop.scheduler import MESSAGE, PEER_CLOSED, READABLE, TIMED_OUT
+from cressrail.event_loop.scheduler import MESSAGE, NEVER, PEER_CLOSED, READABLE, TIMED_OUT
 from cressrail.http1.errors import MalformedMessageError, RequestTimeoutError
 from cressrail.http1.request import RequestReader
+from cressrail.logs import events
 from cressrail.network.dispatcher import BUFFER_RETRY_US, PIPE_CHANGED, CommandDispatcher
-from cressrail.network.late_reads import request_arrived_us
+from cressrail.network.late_reads import LATE_READ_US, request_arrived_us
 from cressrail.network.socket_stream import SocketStream
 from cressrail.network.stale_messages import discard_stale_messages
+from cressrail.network.tcp_information import unread_bytes
+from cressrail.proxy.requests import REQUEST_ID_FIELD
 
 MIN_UPLOAD_BYTES_PER_S = 48_000  # a client that stays below this rate is refused eventually
 MAX_UPLOAD_LAG_US = 4_000_000  # how far a client may fall behind that rate
@@ -53,6 +56,7 @@
         self.reader = reader
         self.pipe = pipe
         self._due_us = dispatcher.now() + MAX_UPLOAD_LAG_US  # time by which more bytes must have arrived
+        self._has_reported_stall = False
 
     def is_complete(self) -> bool:
         """Returns whether the whole request has been received."""
@@ -133,7 +137,23 @@
             scheduler.wait(until_us=self.dispatcher.now() + BUFFER_RETRY_US)
             return True
         self.pipe.on_room = lambda: scheduler.post(task, PIPE_CHANGED)
-        event = scheduler.wait(self.stream.descriptor, PEER_CLOSED)
+        until_us = NEVER if self._has_reported_stall else self.dispatcher.now() + LATE_READ_US
+        event = scheduler.wait(self.stream.descriptor, PEER_CLOSED, until_us)
         self.pipe.on_room = None
         discard_stale_messages(task.messages)
-        return event == MESSAGE
+        if event == TIMED_OUT:
+            self._report_stall()
+        return event in (MESSAGE, TIMED_OUT)
+
+    def _report_stall(self) -> None:
+        """Logs, once an upload, that the endpoint has taken nothing for `LATE_READ_US`."""
+        self._has_reported_stall = True
+        self.dispatcher.state_machine.counters.stalled_uploads += 1
+        request = self.reader.incomplete_request
+        fields = {
+            "request_id": request.header_text(REQUEST_ID_FIELD) if request else None,
+            "received_bytes": self.reader.received_body_bytes,
+            "unread_bytes": unread_bytes(self.stream.sock),
+            "content_length": request.content_length if request else None,
+        }
+        self.dispatcher.log.write_event(events.UPLOAD_STALLED, fields)
--- a/cressrail/network/server.py
+++ b/cressrail/network/server.py
@@ -89,6 +89,7 @@
     scheduler.after_round = log.flush
     now = clock.now_us()
     state_machine = _build_state_machine(configuration, now)
+    scheduler.on_long_round = partial(_report_long_round, log)
     dispatcher = _build_dispatcher(configuration, scheduler, state_machine, log)
     # Hand-over requires an admin address: without one no rendezvous path is created under $TMPDIR and the
     # listening address is not shared.
@@ -214,6 +215,10 @@
     )
 
 
+def _report_long_round(log: LogWriter, duration_us: int, tasks: int) -> None:
+    log.write_event(events.ROUND_TOOK_LONG, {"duration_us": duration_us, "tasks": tasks})
+
+
 def _take_over_then_serve_successor(
     dispatcher: CommandDispatcher, predecessor: Predecessor | None, successor: HandoverServerTask
 ) -> None:
--- a/cressrail/network/tcp_information.py
+++ b/cressrail/network/tcp_information.py
@@ -1,9 +1,12 @@
-"""What the kernel records about a TCP connection: the option TCP_INFO of tcp(7)."""
+"""What the kernel records about a TCP connection: the options and requests of tcp(7)."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 # The start of struct tcp_info (linux/tcp.h), of which two members are read: the retransmission time-out in
 # microseconds and the time since the last data was received in milliseconds.
@@ -12,6 +15,18 @@
 KERNEL_TICK_US = 10_000  # the longest tick in which the kernel counts
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Returns how many received bytes of a connection wait in the kernel to be read: SIOCINQ of tcp(7).
+
+    Returns:
+        The number of bytes; 0 if the system does not tell.
+    """
+    try:
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 def time_since_last_input_us(sock: socket.socket) -> int | None:
     """Returns how long ago the kernel received the last data of a connection, read or unread, in us.
 
--- a/cressrail/proxy/request_counters.py
+++ b/cressrail/proxy/request_counters.py
@@ -17,11 +17,13 @@
     Attributes:
         final: Number of completed requests, by request class and kind of final response.
         sends: Number of attempts whose last byte was written.
+        stalled_uploads: Number of requests that waited unread because their endpoint read slowly.
     """
 
     def __init__(self, request_classes: Iterable[str]) -> None:
         self.final = {name: dict.fromkeys(FINAL_ANSWERS, 0) for name in request_classes}
         self.sends = 0
+        self.stalled_uploads = 0
 
     def on_final_answer(self, request_class: str, status: int) -> None:
         """Counts a completed request by its HTTP status; called exactly once per request."""
@@ -46,6 +48,7 @@
             ("current", open_requests),
             ("cluster_size", listed_endpoints),
             ("cluster_unhealthy", unavailable_endpoints),
+            ("stalled_uploads", self.stalled_uploads),
         )
         lines += [f"{METRIC_PREFIX}{name} {value}" for name, value in gauges]
         return ("\n".join(lines) + "\n").encode()
--- a/tests/logs/test_event_pages.py
+++ b/tests/logs/test_event_pages.py
@@ -33,7 +33,14 @@
 LINE_FIELDS = {"at_us", "sidecar", "event"}
 FIELD_VALUES = {"endpoints", "stranger", "replayed", "away", "reduced"}
 SETTINGS = {"name", "ops"}
-COUNTERS = {"app_cluster_size", "app_cluster_unhealthy", "app_current", "app_deferred", "app_sends"}
+COUNTERS = {
+    "app_cluster_size",
+    "app_cluster_unhealthy",
+    "app_current",
+    "app_deferred",
+    "app_sends",
+    "app_stalled_uploads",
+}
 OTHER_WORDS = LINE_FIELDS | FIELD_VALUES | SETTINGS | COUNTERS
 
 
--- a/tests/proxy/test_request_counters.py
+++ b/tests/proxy/test_request_counters.py
@@ -23,6 +23,7 @@
         "app_current": 0,
         "app_cluster_size": 2,
         "app_cluster_unhealthy": 0,
+        "app_stalled_uploads": 0,
     }
 
 
