Tests: uploads to endpoints that stop reading, on a real process (known red)

With a length and chunked, two classes, 160 kB to 8 MB: those that do not fit into the buffers are answered 503 after 3.08 s, the limit for slow peers, where the deadline is 0.5 s. Two sound neighbours pass: a client that sends slowly, and 60 MB at a steady 30 MB/s.

--- /dev/null
+++ b/tests/faults/test_stalled_upload.py
@@ -0,0 +1,120 @@
+"""A large request whose endpoint reads slowly or stops reading gets its final answer in time."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from itertools import product
+
+import pytest
+
+from tests.faults.conftest import StartEndpoint, StartSidecar
+from tests.faults.support import (
+    LATE_S,
+    SMALL_BUFFER_BYTES,
+    Answer,
+    EndpointPeer,
+    Sidecar,
+    answer_all,
+    read_answer,
+)
+from tests.support.http_messages import CHUNKED_HEADER, chunk_bytes, request_bytes, response_bytes
+
+DEADLINE_S = 0.5
+# Bodies that fit and that do not fit into the buffers of the connections of a loopback interface.
+SIZES = (160_000, 400_000, 8_000_000)
+FRAMINGS = ("length", "chunked")
+
+
+def stop_reading(peer: EndpointPeer) -> None:
+    """The endpoint reads a part of the head, and then nothing until the connection is closed."""
+    peer.sock.recv(64)
+    time.sleep(60)
+
+
+def read_slowly(peer: EndpointPeer) -> None:
+    """The endpoint reads at 20 kB/s."""
+    peer.read_request(bytes_per_s=20_000)
+
+
+def upload_bytes(request_class: str, size: int, framing: str, deadline_s: float = DEADLINE_S) -> bytes:
+    """Returns a request with a body of this size."""
+    deadline = f"{int(deadline_s * 1000)}m"
+    if framing == "length":
+        return request_bytes(request_class, bytes(size), Req_Deadline=deadline)
+    head = request_bytes(request_class, Req_Deadline=deadline, Content_Length="")
+    pieces = [chunk_bytes(bytes(min(50_000, size - start))) for start in range(0, size, 50_000)]
+    return head[:-2] + CHUNKED_HEADER + b"".join(pieces) + chunk_bytes(b"")
+
+
+def upload(sidecar: Sidecar, request: bytes) -> Answer:
+    """Sends a request; its time counts from the last byte, or from the start if that is not written."""
+    sent_s = time.monotonic()
+    with sidecar.connect() as sock:
+        writer = threading.Thread(target=_write, args=(sock, request), daemon=True)
+        writer.start()
+        writer.join(DEADLINE_S)
+        if not writer.is_alive():
+            sent_s = time.monotonic()
+        return read_answer(sock, sent_s, limit_s=8)
+
+
+def _write(sock: object, request: bytes) -> None:
+    with suppress(OSError):
+        sock.sendall(request)  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize("script", [stop_reading, read_slowly])
+def test_upload_to_endpoint_that_reads_no_more_is_answered_in_time(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, script: Callable[[EndpointPeer], None]
+) -> None:
+    """Guards against a clock that starts only once the last byte has been read, which it never is."""
+    endpoint = start_endpoint("s0", script, SMALL_BUFFER_BYTES)
+    sidecar = start_sidecar(endpoint)
+    variants = list(product(("read", "write"), SIZES, FRAMINGS))
+    requests = [upload_bytes(*variant) for variant in variants]
+    with ThreadPoolExecutor(len(variants)) as pool:
+        answers = list(pool.map(lambda request: upload(sidecar, request), requests))
+    late = {
+        variant: answer
+        for variant, answer in zip(variants, answers, strict=True)
+        if answer.status not in (502, 503) or answer.took_s > DEADLINE_S + LATE_S
+    }
+    assert not late
+    assert endpoint.arrivals == []
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_upload_that_its_client_sends_slowly_keeps_its_time(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, framing: str
+) -> None:
+    """A client that takes longer than its deadline to send has all of it left after its last byte."""
+    sidecar = start_sidecar(start_endpoint("s0", answer_all))
+    request = upload_bytes("write", 400_000, framing)
+    with sidecar.connect() as sock:
+        for start in range(0, len(request), 25_000):
+            sock.sendall(request[start : start + 25_000])
+            time.sleep(0.1)
+        assert read_answer(sock, time.monotonic()).status == 200
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_upload_is_not_refused_while_its_client_is_still_writing(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, framing: str
+) -> None:
+    """An upload that takes several deadlines, since it is longer than all buffers on its way."""
+
+    def read_steadily(peer: EndpointPeer) -> None:
+        if peer.read_request(bytes_per_s=30e6):
+            peer.sock.sendall(response_bytes())
+
+    sidecar = start_sidecar(start_endpoint("s0", read_steadily))
+    with sidecar.connect() as sock:
+        started_s = time.monotonic()
+        sock.sendall(upload_bytes("write", 60_000_000, framing, deadline_s=1))
+        sent_s = time.monotonic()
+        assert sent_s - started_s > 2
+        assert read_answer(sock, sent_s).status == 200
