Uploads: a request's time runs while its endpoint takes nothing, and it is rejected in time

Cause: the clock of a streamed request starts when its last byte has been read (RequestForwarder.complete), and while the pipe to the endpoint is full nothing is read: only the limit for slow peers (the longest deadline) ended it. Change: the clock counts from the last time at which the client surely had more to send (UploadClock: the connection was read empty, or more is missing, or has come since, than the buffers of a connection can hold). When it is over, the request is rejected with 503: no endpoint has its last byte, so it never ran. The two neighbours (slow client, 60 MB at a steady 20 MB/s, deadline 1 s) still pass. The test's largest body is 4 MB, not 8: of 8 MB with a length the client had not written its last byte, so that no time ran; 4 MB is read whole by nobody and written whole by the client.

--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -15,6 +15,7 @@
 from cressrail.network.socket_stream import SocketStream
 from cressrail.network.stale_messages import discard_stale_messages
 from cressrail.network.tcp_information import unread_bytes
+from cressrail.network.upload_clock import UploadClock
 from cressrail.proxy.requests import REQUEST_ID_FIELD
 
 MIN_UPLOAD_BYTES_PER_S = 48_000  # a client that stays below this rate is refused eventually
@@ -56,7 +57,10 @@
         self.reader = reader
         self.pipe = pipe
         self._due_us = dispatcher.now() + MAX_UPLOAD_LAG_US  # time by which more bytes must have arrived
+        self._is_drained = False  # whether the client had sent nothing more when the connection was last read
         self._has_reported_stall = False
+        request = reader.incomplete_request
+        self._clock = UploadClock(stream.arrived_us, request.content_length if request else None)
 
     def is_complete(self) -> bool:
         """Returns whether the whole request has been received."""
@@ -85,6 +89,9 @@
         while not messages:
             if not self.pipe.has_room():
                 waits_since_us = now()
+                if waits_since_us >= self._expires_us():
+                    self._expire()
+                    return UploadState.ABORTED
                 if not self._wait_for_room():
                     return UploadState.CLIENT_LEFT
                 self._due_us += now() - waits_since_us  # the client did not cause this delay
@@ -111,16 +118,34 @@
         """
         count = self.stream.receive()
         if count < 0:
+            self._is_drained = True
             event = self.dispatcher.scheduler.wait(self.stream.descriptor, READABLE, self._due_us)
             if event == TIMED_OUT:
                 raise RequestTimeoutError(f"upload slower than {MIN_UPLOAD_BYTES_PER_S} bytes/s")
         elif count > 0:
+            if self._is_drained:
+                self._is_drained = False
+                self._clock.on_drained(self.stream.arrived_us)
             # A pause is allowed if faster bytes before or after it make up for it, up to the maximum lag.
             latest_due_us = self.dispatcher.now() + MAX_UPLOAD_LAG_US
             self._due_us = min(self._due_us + count * US_PER_S // MIN_UPLOAD_BYTES_PER_S, latest_due_us)
             self.stream.feed_to(self.reader.feed)
         return count
 
+    def _expires_us(self) -> int:
+        """Returns when the request's time may be over, given that the sidecar reads no more until then."""
+        self._clock.on_received(
+            self.dispatcher.now(), self.reader.received_body_bytes, unread_bytes(self.stream.sock)
+        )
+        limit_us = self.dispatcher.state_machine.upload_time_limit_us(self.client)
+        return NEVER if limit_us is None else self._clock.incomplete_us + limit_us
+
+    def _expire(self) -> None:
+        """Has the request rejected: its time may be over, and no endpoint has its last byte."""
+        dispatcher = self.dispatcher
+        self.pipe.fail()
+        dispatcher.dispatch(dispatcher.state_machine.on_upload_expired(dispatcher.now(), self.client))
+
     def _abort(self, error: MalformedMessageError) -> None:
         dispatcher = self.dispatcher
         self.pipe.fail()
@@ -130,18 +155,21 @@
         dispatcher.dispatch(commands)
 
     def _wait_for_room(self) -> bool:
-        """Waits until the attempt's task has sent data; returns False if the client disconnects."""
+        """Waits for data to be sent, or for the end of the time; returns False if the client disconnects."""
         scheduler = self.dispatcher.scheduler
         task = scheduler.current_task()
         if not self.pipe.is_full():  # the pool is exhausted, and any task may return a buffer to it
             scheduler.wait(until_us=self.dispatcher.now() + BUFFER_RETRY_US)
             return True
         self.pipe.on_room = lambda: scheduler.post(task, PIPE_CHANGED)
-        until_us = NEVER if self._has_reported_stall else self.dispatcher.now() + LATE_READ_US
+        stalled_us = self.dispatcher.now() + LATE_READ_US
+        until_us = self._expires_us()
+        if not self._has_reported_stall:
+            until_us = min(until_us, stalled_us)
         event = scheduler.wait(self.stream.descriptor, PEER_CLOSED, until_us)
         self.pipe.on_room = None
         discard_stale_messages(task.messages)
-        if event == TIMED_OUT:
+        if event == TIMED_OUT and not self._has_reported_stall and self.dispatcher.now() >= stalled_us:
             self._report_stall()
         return event in (MESSAGE, TIMED_OUT)
 
--- a/cressrail/policy/routed_request.py
+++ b/cressrail/policy/routed_request.py
@@ -124,10 +124,13 @@
             self.is_uploading = False
             for attempt_number in self.in_flight:
                 self.load_balancer.add_in_flight(self.attempts[attempt_number], 1)
-        margin_us = min(
+        self.deadline_us = now_us + remaining_us - self.deadline_margin_us(remaining_us)
+
+    def deadline_margin_us(self, remaining_us: int) -> int:
+        """Returns by how much the deadline is brought forward, so that an answer arrives in time."""
+        return min(
             remaining_us // _DEADLINE_MARGIN_DIVISOR, self.load_balancer.round_us * _DEADLINE_MARGIN_ROUNDS
         )
-        self.deadline_us = now_us + remaining_us - margin_us
 
     def on_response_started(self, attempt_number: int) -> list[Decision]:
         """Handles a response that has started to stream to the client: cancels all other attempts."""
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -104,20 +104,21 @@
         if pending.is_invalid:
             status = INVALID_REQUEST_STATUS
         commands = self._answer(routed_request, Response(status, retry_after_us=retry_after_us))
-        commands.append(
-            LogEvent(
-                events.REQUEST_REJECTED if is_rejected else events.REQUEST_FAILED,
-                {
-                    "request_id": pending.request_id,
-                    "request_class": pending.class_name,
-                    "tenant": pending.request.header_text(TENANT_FIELD),
-                    "attempts": pending.attempt_count,
-                    "remaining_us": routed_request.deadline_us - now_us,
-                },
-            )
-        )
+        event = events.REQUEST_REJECTED if is_rejected else events.REQUEST_FAILED
+        commands.append(self._log_end(event, pending, routed_request.deadline_us - now_us))
         return commands + self.requests.release(routed_request)
 
+    def _log_end(self, event: str, pending: PendingRequest, remaining_us: int) -> Command:
+        """Returns the command to log a request that no endpoint has answered."""
+        fields = {
+            "request_id": pending.request_id,
+            "request_class": pending.class_name,
+            "tenant": pending.request.header_text(TENANT_FIELD),
+            "attempts": pending.attempt_count,
+            "remaining_us": remaining_us,
+        }
+        return LogEvent(event, fields)
+
     def on_timer(self, now_us: int) -> list[Command]:
         """Applies the load balancer's timed decisions, if any are due."""
         if now_us < self.load_balancer.wake_us:
@@ -215,6 +216,28 @@
         routed_request.start_clock(now_us, remaining_us)
         return []
 
+    def upload_time_limit_us(self, client: int) -> int | None:
+        """Returns the time limit of the request that a client is sending; None if no response is wanted.
+
+        The limit leaves the response as much time to reach the client as the deadline of other requests.
+        """
+        routed_request = self.clients.open[client].routed_request
+        if routed_request is None or routed_request.is_finished:
+            return None
+        limit_us = self.requests.pending[routed_request].time_limit_us
+        return limit_us - routed_request.deadline_margin_us(limit_us)
+
+    def expire(self, now_us: int, client: int) -> list[Command]:
+        """Rejects a request that its endpoint takes so slowly that its time may be over.
+
+        No endpoint has its last byte, so it has had no effect.
+        """
+        routed_request = self.clients.open[client].routed_request
+        if routed_request is None or routed_request.is_finished:
+            return []
+        log_event = self._log_end(events.REQUEST_REJECTED, self.requests.pending[routed_request], 0)
+        return [*self.abort(now_us, client, REJECTED_STATUS), log_event]
+
     def abort(self, now_us: int, client: int, status: int) -> list[Command]:
         """Ends a request that was forwarded while it arrived, after its client failed to send the rest.
 
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -226,6 +226,15 @@
         """Handles the last byte of a request that is forwarded while it arrives."""
         return self._complete(now_us, self.forwarder.complete(now_us, client, arrived_us))
 
+    def upload_time_limit_us(self, client: int) -> int | None:
+        """Returns the time limit of the request that a client is sending; None if no response is wanted."""
+        return self.forwarder.upload_time_limit_us(client)
+
+    def on_upload_expired(self, now_us: int, client: int) -> list[Command]:
+        """Handles a request that is forwarded while it arrives and whose endpoint took it too slowly."""
+        self.clients.set_keep_alive(client, False)
+        return self._complete(now_us, self.forwarder.expire(now_us, client))
+
     def on_request_aborted(self, now_us: int, client: int, status: int, reason: str) -> list[Command]:
         """Handles a request that is forwarded while it arrives and that its client fails to complete."""
         self.clients.set_keep_alive(client, False)
