--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -104,20 +104,21 @@
         if pending.is_invalid:
             status = INVALID_REQUEST_STATUS
         commands = self._answer(routed_request, Response(status, retry_after_us=retry_after_us))
-        event = events.REQUEST_REJECTED if is_rejected else events.REQUEST_FAILED
-        commands.append(self._log_end(event, pending, routed_request.deadline_us - now_us))
+        commands.append(self._log_end(pending, is_rejected, routed_request.deadline_us - now_us))
         return commands + self.requests.release(routed_request)
 
-    def _log_end(self, event: str, pending: PendingRequest, remaining_us: int) -> Command:
+    def _log_end(self, pending: PendingRequest, is_rejected: bool, remaining_us: int) -> Command:
         """Returns the command to log a request that no endpoint has answered."""
-        fields = {
-            "request_id": pending.request_id,
-            "request_class": pending.class_name,
-            "tenant": pending.request.header_text(TENANT_FIELD),
-            "attempts": pending.attempt_count,
-            "remaining_us": remaining_us,
-        }
-        return LogEvent(event, fields)
+        return LogEvent(
+            events.REQUEST_REJECTED if is_rejected else events.REQUEST_FAILED,
+            {
+                "request_id": pending.request_id,
+                "request_class": pending.class_name,
+                "tenant": pending.request.header_text(TENANT_FIELD),
+                "attempts": pending.attempt_count,
+                "remaining_us": remaining_us,
+            },
+        )
 
     def on_timer(self, now_us: int) -> list[Command]:
         """Applies the load balancer's timed decisions, if any are due."""
@@ -235,7 +236,7 @@
         routed_request = self.clients.open[client].routed_request
         if routed_request is None or routed_request.is_finished:
             return []
-        log_event = self._log_end(events.REQUEST_REJECTED, self.requests.pending[routed_request], 0)
+        log_event = self._log_end(self.requests.pending[routed_request], is_rejected=True, remaining_us=0)
         return [*self.abort(now_us, client, REJECTED_STATUS), log_event]
 
     def abort(self, now_us: int, client: int, status: int) -> list[Command]:
