Event loop: no task holds the others up while its peer has more to read

Cause: a client's task that finds more input goes on without a wait: the answer to a request that needs no endpoint, the next ReadRequest and the next request all come without one (ClientConnectionTask._next_command, RequestReception.run), so that the loop stands still until the client stops. Evidence: round_took_long with one task for the whole flood; the reads of all others in the same millisecond afterwards. Ruled out: the listener (accepted before), the log (no lines_dropped), sheer load (rounds of few tasks).

Change, for input of any peer: a task yields after two reads of a buffer in one turn (SocketStream.receive), between two requests of one client, and between calls of a parser, whose work a call is bounded (64 chunk lines; one interim response). Those that have yielded go on behind all that wake, for 2 ms of a round. The listener accepts 16 connections a round, not 64: each brings work of its own.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -1,7 +1,11 @@
 """A cooperative scheduler for tasks on greenlets, woken by descriptors, messages and timers.
 
-A task runs until it calls `Scheduler.wait`, the only place where it blocks. It wakes when its descriptor is
-ready, when a message is posted to it, or when its timer expires.
+A task runs until it calls `Scheduler.wait`, where it blocks, or `Scheduler.yield_turn`. It wakes when its
+descriptor is ready, when a message is posted to it, or when its timer expires.
+
+Whatever a peer sends, no task holds the others up: one that has read `MAX_READS_PER_TURN` times, or that
+has more requests of one client to answer, yields. Tasks that have yielded go on behind those that wake, and
+for a short time in each round.
 
 `select.poll` scans all registered descriptors, so the cost of a round grows with the number of open
 descriptors, not with the number of events. When many connections are idle, the scheduler therefore uses two
@@ -41,6 +45,8 @@
 MAX_VITAL_FAULTS = 8  # the loop ends when a vital task has failed this often within the window
 VITAL_FAULT_WINDOW_US = 10_000_000
 LONG_ROUND_US = 100_000  # a round that took longer is reported
+MAX_READS_PER_TURN = 2  # of a buffer each
+YIELDED_TURNS_US = 2_000  # time in each round for tasks that have yielded; at least one of them runs
 
 
 class Task:
@@ -50,6 +56,7 @@
         greenlet: The greenlet that the task runs on.
         has_priority: Whether the task runs before other ready tasks of a round.
         messages: The mailbox: posted messages that the task has not removed yet.
+        reads: Number of reads since the task last woke or yielded.
         fd: The descriptor that the task waits for; -1 for none.
         earliest_arrival_us: The earliest time at which the input that woke the task may have arrived.
         wait_number: Number of waits and wake-ups so far; a timer that was set under another number is
@@ -64,6 +71,7 @@
         "has_priority",
         "is_waiting_for_message",
         "messages",
+        "reads",
         "wait_number",
     )
 
@@ -71,6 +79,7 @@
         self.greenlet = body
         self.has_priority = has_priority
         self.messages: deque[Any] = deque()
+        self.reads = 0
         self.fd = -1
         self.earliest_arrival_us = 0
         self.wait_number = 0
@@ -110,6 +119,7 @@
         self.last_full_poll_us = self.next_full_poll_us = self.last_event_us = now()
         self.task_by_descriptor: dict[int, Task] = {}
         self.ready: deque[tuple[Task, int]] = deque()
+        self.yielded: deque[Task] = deque()
         # A heap of (time, sequence number of the timer, task, wait number of the task).
         self.timers: list[tuple[int, int, Task, int]] = []
         self.timer_count = 0
@@ -218,9 +228,29 @@
             heappush(self.timers, (until_us, self.timer_count, task, task.wait_number))
         return int(self.hub.switch())
 
+    def count_read(self) -> None:
+        """Counts a read of the running task; its turn ends first if it has read often enough."""
+        task = self.current
+        if task is None:
+            return
+        if task.reads >= MAX_READS_PER_TURN:
+            self.yield_turn()
+        task.reads += 1
+
+    def yield_turn(self) -> None:
+        """Lets all other tasks that are or become ready run before the running task goes on."""
+        task = self.current
+        assert task is not None
+        task.reads = 0
+        # What the task reads from now on may have arrived since this round began.
+        task.earliest_arrival_us = self.round_started_us
+        self.yielded.append(task)
+        self.hub.switch()
+
     def _wake(self, task: Task, result: int) -> None:
         """Marks a task as ready to run; its call of `wait` will return `result`."""
         task.is_waiting_for_message = False
+        task.reads = 0
         task.wait_number += 1
         task.earliest_arrival_us = self.earliest_event_us
         if task.fd >= 0:
@@ -244,9 +274,23 @@
                 task.greenlet.switch(result)
                 if self.is_stopped:
                     break
+            if self.yielded:
+                self._run_yielded()
             self.current = None
             self.after_round()
 
+    def _run_yielded(self) -> None:
+        """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`."""
+        until_us = self.now() + YIELDED_TURNS_US
+        for _ in range(len(self.yielded)):
+            if self.is_stopped:
+                break
+            self.current = task = self.yielded.popleft()
+            self.round_tasks += 1
+            task.greenlet.switch(TIMED_OUT)
+            if self.now() >= until_us:
+                break
+
     def _poll(self) -> None:
         """Polls once, and wakes the tasks whose descriptors are ready or whose timers have expired."""
         before_us = self.now()
@@ -281,7 +325,7 @@
         timers = self.timers
         while timers and timers[0][2].wait_number != timers[0][3]:  # the task has woken since
             heappop(timers)
-        if self.ready:
+        if self.ready or self.yielded:
             return 0
         return max(0, timers[0][0] - now_us) if timers else NEVER
 
--- a/cressrail/http1/body.py
+++ b/cressrail/http1/body.py
@@ -15,6 +15,7 @@
 MAX_CHUNK_LINE_BYTES = 1024  # length of a chunk size line, with its extensions, or of a trailer line
 MAX_CHUNK_SIZE_DIGITS = 8
 MAX_TRAILER_LINES = 64
+MAX_LINES_PER_FEED = 64  # chunk size, chunk end and trailer lines
 HEX_DIGITS = b"0123456789abcdefABCDEF"
 
 # States of `ChunkedReader`, named after the element that it expects next. The last chunk, whose size is
@@ -49,7 +50,8 @@
         """Parses received bytes.
 
         Returns:
-            The number of bytes consumed; the caller must pass the remaining ones again in the next call.
+            The number of bytes consumed; the caller must pass the remaining ones again in the next call, at
+            once if any were consumed: the work of a call is bounded.
 
         Raises:
             MalformedMessageError: The framing of the body is malformed, or the body is too large.
@@ -122,9 +124,9 @@
         self.trailer_lines = 0
 
     def feed(self, data: memoryview) -> int:
-        """Consumes chunk data and complete lines; an incomplete line stays unconsumed."""
-        used = 0
-        while used < len(data) and not self.is_complete:
+        """Consumes chunk data and at most `MAX_LINES_PER_FEED` lines; an incomplete line stays unconsumed."""
+        used = lines = 0
+        while used < len(data) and lines < MAX_LINES_PER_FEED and not self.is_complete:
             if self.state == CHUNK_DATA:
                 count = min(self.remaining_bytes, len(data) - used)
                 self._append(data[used : used + count])
@@ -140,6 +142,7 @@
                     raise MalformedMessageError(f"chunk or trailer line exceeds {MAX_CHUNK_LINE_BYTES} bytes")
                 return used
             used += end + 2
+            lines += 1
             self._parse_line(text[:end])
         return used
 
--- a/cressrail/http1/request.py
+++ b/cressrail/http1/request.py
@@ -158,7 +158,8 @@
         """Parses received bytes.
 
         Returns:
-            The number of bytes consumed; the caller must pass the remaining ones again in the next call.
+            The number of bytes consumed; the caller must pass the remaining ones again in the next call, at
+            once if any were consumed and the request is incomplete.
 
         Raises:
             MalformedMessageError: The request is malformed, ambiguous or too large.
--- a/cressrail/http1/response.py
+++ b/cressrail/http1/response.py
@@ -130,19 +130,20 @@
         """Parses received bytes.
 
         Returns:
-            The number of bytes consumed; the caller must pass the remaining ones again in the next call.
+            The number of bytes consumed; the caller must pass the remaining ones again in the next call, at
+            once if any were consumed and the response is incomplete.
 
         Raises:
             MalformedMessageError: The bytes are not a valid response, or the body is too large.
         """
         used = 0
-        while self._body is None:
-            found = parse_head(data[used:])
+        if self._body is None:
+            found = parse_head(data)
             if found is None:
-                return used
-            used += found[0]
+                return 0
+            used = found[0]
             self._start_body(found[1], found[2])
-        if not self._body.is_complete:
+        if self._body is not None and not self._body.is_complete:
             used += self._body.feed(data[used:])
         return used
 
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -12,7 +12,7 @@
 from cressrail.network.tcp_information import time_since_last_input_us
 
 BACKLOG = 1024
-MAX_ACCEPTS_PER_ROUND = 64  # then other tasks run
+MAX_ACCEPTS_PER_ROUND = 16  # then other tasks run
 NO_DESCRIPTORS_PAUSE_US = 20_000  # before accepting again after the descriptors ran out
 MAX_CLOSE_US = 500_000  # how long closing waits for free descriptors for clients in the accept queue
 # Errors of a connection that ended while it was queued; later connections in the queue may be fine.
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -149,7 +149,7 @@
         return True
 
     def receive(self) -> int:
-        """Receives into `input_buffer` without blocking.
+        """Receives into `input_buffer` without waiting for data; the task's turn may end first.
 
         Returns:
             The number of bytes received: 0 at the end of the stream, -1 if no bytes are available yet.
@@ -158,6 +158,7 @@
             BufferPoolExhaustedError: There is no buffer to receive into.
             OSError: The connection was reset.
         """
+        self.scheduler.count_read()
         try:
             count = self.sock.recv_into(self.input_buffer.free_space())
         except BlockingIOError:
@@ -183,8 +184,15 @@
         return self.arrived_us
 
     def feed_to(self, parse: Callable[[memoryview], int]) -> None:
-        """Passes the unconsumed bytes to a parser, which returns how many of them it has consumed."""
-        self.input_buffer.consume(parse(self.input_buffer.unread()))
+        """Passes the unconsumed bytes to a parser, which returns how many of them it has consumed.
+
+        It is called again while it consumes some and leaves some; others have their turn in between.
+        """
+        while used := parse(self.input_buffer.unread()):
+            self.input_buffer.consume(used)
+            if not self.input_buffer.unread():
+                return
+            self.scheduler.yield_turn()
 
     def has_peer_closed(self) -> bool:
         """Returns whether the peer has closed or reset the connection, even if input is still unread."""
