Loops that read until a peer stops also look at the time and at messages

Seen by going through the loops of the process, each with a peer that sends without end (tests/faults/test_peer_floods.py). Cause: limits were looked at only in waits, and a wait for a connection with more to read returns at once, before its timer. So there was no bound for interim responses (the request's attempt went on, others of that endpoint too), a response during an upload, what a client sends after a close was decided (SocketStream.linger), what an operator sends after the answer (AdminCall), a predecessor that keeps sending, and clients that keep connecting while the listener closes (which also took no turn for others).

--- a/cressrail/network/admin_server.py
+++ b/cressrail/network/admin_server.py
@@ -123,15 +123,14 @@
 
     def _receive(self, until_us: int) -> bytes:
         """Returns received bytes; empty if the caller disconnects, after `until_us` or after `CLOSE_CALL`."""
-        while True:
+        scheduler = self.dispatcher.scheduler
+        scheduler.count_read()
+        while self.dispatcher.now() < until_us and not scheduler.current_task().messages:
             try:
                 return self.sock.recv(READ_BYTES)
             except BlockingIOError:
-                if self.dispatcher.scheduler.wait(self.sock.fileno(), READABLE, until_us) in (
-                    MESSAGE,
-                    TIMED_OUT,
-                ):
-                    return b""
+                scheduler.wait(self.sock.fileno(), READABLE, until_us)
+        return b""
 
     def _send(self, response: AdminResponse) -> None:
         unsent = memoryview(_encode(response))
--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -187,7 +187,7 @@
         """
         while not self.reader.is_complete:
             count = stream.receive()
-            if count < 0:
+            if count < 0 or not self.state_machine.is_attempt_wanted(self.command.attempt):
                 return False
             if count == 0:
                 self.reader.on_connection_closed()
@@ -243,8 +243,21 @@
             stream.feed_to(self.reader.feed)
             if self.reader.has_head and not self.is_streaming:
                 return self._is_rest_wanted()
+            self._check_limits(until_us)
         return True
 
+    def _check_limits(self, until_us: int) -> None:
+        """Checks the limits of the wait for a response, where more keeps coming so that there is no wait.
+
+        Raises:
+            StreamInterruptedError: The attempt has been cancelled.
+            StreamTimeoutError: The response has not begun before `until_us`.
+        """
+        if self.scheduler.current_task().messages:
+            raise StreamInterruptedError
+        if not self.is_streaming and self.dispatcher.now() >= until_us:
+            raise StreamTimeoutError
+
     def _is_rest_wanted(self) -> bool:
         """Returns whether to read on after the head.
 
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -107,9 +107,16 @@
     def _close(self) -> None:
         """Accepts the queued connections, then closes; a connection that arrives in between is reset."""
         until_us = self.dispatcher.now() + MAX_CLOSE_US
+        accepted = 0
         try:
-            while self._accept() or (self.is_out_of_descriptors and self.dispatcher.now() < until_us):
-                pass
+            while self._accept() or self.is_out_of_descriptors:
+                accepted += not self.is_out_of_descriptors
+                # All that were queued at the start are accepted, but not all that keep connecting.
+                may_end = self.is_out_of_descriptors or accepted > BACKLOG
+                if may_end and self.dispatcher.now() >= until_us:
+                    break
+                if accepted % MAX_ACCEPTS_PER_ROUND == 0:
+                    self.dispatcher.scheduler.yield_turn()
         finally:
             self.sock.close()
 
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -234,7 +234,7 @@
         self.input_buffer.release()
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            while self.receive() != 0:
+            while self.receive() != 0 and self.scheduler.now() < until_us:
                 self.input_buffer.release()
                 self.wait(READABLE, until_us)
         except (OSError, StreamTimeoutError, BufferPoolExhaustedError):
--- a/tests/faults/small_buffers.py
+++ b/tests/faults/small_buffers.py
@@ -23,5 +23,5 @@
 
 
 if __name__ == "__main__":
-    SocketStream.__init__ = initialize_with_small_buffers  # type: ignore[method-assign]
+    SocketStream.__init__ = initialize_with_small_buffers  # type: ignore[method-assign,assignment]
     app()
