Slow readers: what the peer has taken is progress, not that its socket is writable

Cause: SocketStream.send waits for POLLOUT with the limit for slow peers, and Linux reports that only when a third of the send buffer is free again, which grows to megabytes: at 128 kB/s that takes longer than the limit. Change: where the wait ends without POLLOUT, the kernel is asked how much the peer has not acknowledged (SIOCOUTQ); if that has become less, the wait goes on. A peer that takes nothing for the limit is closed as before.

--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -160,8 +160,7 @@
         """Waits until more can be sent; returns how the attempt ended, or None if it continues."""
         task = self.scheduler.current_task()
         if sender.unsent:
-            until_us = self.dispatcher.now() + self.dispatcher.peer_timeout_us
-            event = self.scheduler.wait(stream.descriptor, READABLE | WRITABLE, until_us)
+            event = self._wait_until_taken(stream)
         else:
             sender.pipe.on_data = lambda: self.scheduler.post(task, PIPE_CHANGED)
             event = self.scheduler.wait(stream.descriptor, READABLE)
@@ -177,6 +176,15 @@
             return self._end_of_response(is_connection_reusable=False)
         return None
 
+    def _wait_until_taken(self, stream: SocketStream) -> int:
+        """Waits while the endpoint takes something; returns the result of `Scheduler.wait`."""
+        try:
+            return stream.wait_until_taken(READABLE | WRITABLE, self.dispatcher.peer_timeout_us, True)
+        except StreamTimeoutError:
+            return TIMED_OUT
+        except StreamInterruptedError:
+            return MESSAGE
+
     def _read_early_response(self, stream: SocketStream) -> bool:
         """Reads what has arrived of the response during an upload; returns whether the response is complete.
 
--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -156,7 +156,7 @@
             kept = body.views() if body else []
             if is_chunked and body:
                 kept = encode_chunk(kept, body.size)
-            self.stream.send([head, *kept], dispatcher.now() + dispatcher.peer_timeout_us)
+            self.stream.send_while_taken([head, *kept], dispatcher.peer_timeout_us)
             if isinstance(body, StreamingBody) and body.pipe is not None:
                 body.release_kept()
                 ends_with_connection = response.content_length is None and not command.is_http11
@@ -177,7 +177,7 @@
             if parts := pipe.views():
                 size = sum(map(len, parts))
                 chunk = encode_chunk(parts, size) if is_chunked else list(parts)
-                self.stream.send(chunk, dispatcher.now() + dispatcher.peer_timeout_us)
+                self.stream.send_while_taken(chunk, dispatcher.peer_timeout_us)
                 del parts, chunk
                 pipe.consume(size)
             elif pipe.has_failed:
@@ -189,7 +189,7 @@
             else:
                 self._wait_for_response(pipe)
         if is_chunked:
-            self.stream.send([memoryview(LAST_CHUNK)], dispatcher.now() + dispatcher.peer_timeout_us)
+            self.stream.send_while_taken([memoryview(LAST_CHUNK)], dispatcher.peer_timeout_us)
 
     def _wait_for_response(self, pipe: Pipe) -> None:
         scheduler = self.dispatcher.scheduler
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -19,7 +19,7 @@
     WRITABLE,
     Scheduler,
 )
-from cressrail.network.tcp_information import KERNEL_TICK_US, time_since_last_input_us
+from cressrail.network.tcp_information import KERNEL_TICK_US, time_since_last_input_us, undelivered_bytes
 
 MAX_BUFFERS_PER_WRITE = 64
 # Errors that report exhausted resources of this process or system; they are not caused by the peer.
@@ -136,6 +136,37 @@
             if not self.send_some(unsent):
                 self.wait(WRITABLE, until_us, wakes_on_message)
 
+    def send_while_taken(self, parts: list[memoryview], stall_us: int) -> None:
+        """Sends all parts, however long it takes, unless the peer takes nothing for `stall_us`.
+
+        Whether the socket is writable does not show that: it becomes so only when a third of its buffer, of
+        maybe megabytes, is free again.
+
+        Raises:
+            StreamTimeoutError: The peer took nothing for `stall_us`.
+            OSError: The connection was closed or reset.
+        """
+        unsent = [part for part in parts if part]
+        while unsent:
+            if not self.send_some(unsent):
+                self.wait_until_taken(WRITABLE, stall_us)
+
+    def wait_until_taken(self, mask: int, stall_us: int, wakes_on_message: bool = False) -> int:
+        """Waits as `wait` does, unless the peer takes nothing for `stall_us`.
+
+        Raises:
+            StreamTimeoutError: The peer took nothing for `stall_us`.
+            StreamInterruptedError: A message was posted first and `wakes_on_message` is true.
+        """
+        undelivered = undelivered_bytes(self.sock)
+        while True:
+            try:
+                return self.wait(mask, self.scheduler.now() + stall_us, wakes_on_message)
+            except StreamTimeoutError:
+                before, undelivered = undelivered, undelivered_bytes(self.sock)
+                if undelivered >= before:
+                    raise
+
     def send_some(self, unsent: list[memoryview]) -> bool:
         """Sends without blocking and removes the sent bytes from the list; False if none were sent."""
         try:
--- a/cressrail/network/tcp_information.py
+++ b/cressrail/network/tcp_information.py
@@ -21,8 +21,21 @@
     Returns:
         The number of bytes; 0 if the system does not tell.
     """
+    return _queue_bytes(sock, termios.FIONREAD)
+
+
+def undelivered_bytes(sock: socket.socket) -> int:
+    """Returns how many written bytes of a connection the peer has not acknowledged: SIOCOUTQ of tcp(7).
+
+    Returns:
+        The number of bytes; 0 if the system does not tell.
+    """
+    return _queue_bytes(sock, termios.TIOCOUTQ)
+
+
+def _queue_bytes(sock: socket.socket, request: int) -> int:
     try:
-        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), request, bytes(4)), sys.byteorder)
     except OSError:
         return 0
 
