Responses of unknown length are passed on 0.1 s after their first byte, and to their end

Change: a 200 without a length is kept for 0.1 s from its first byte, so that most can still be replaced by a retry, and streams from then on; only gaps between bytes are limited then, as for those that are known to be long. Result: 100 kB at 100 kB/s, deadline 0.5 s: whole, the first byte within 0.25 s, in all three framings; before, chunked and until close got 502 at 0.49 s. What is shorter than 64 KiB and has a length is kept as before, up to the deadline.

--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -7,7 +7,7 @@
 
 from cressrail.buffers.pipe import KEPT_BODY_BYTES, Pipe, StreamingBody
 from cressrail.buffers.pool import BufferPoolExhaustedError
-from cressrail.event_loop.scheduler import MESSAGE, READABLE, TIMED_OUT, WRITABLE
+from cressrail.event_loop.scheduler import MESSAGE, NEVER, READABLE, TIMED_OUT, WRITABLE
 from cressrail.http1.body import MAX_BODY_BYTES, encode_chunk
 from cressrail.http1.errors import MalformedMessageError
 from cressrail.http1.response import Response, ResponseReader
@@ -27,6 +27,9 @@
 FIRST_CLIENT_ERROR, FIRST_SERVER_ERROR = 400, 500
 # Client errors by status that the endpoint may itself have caused: request timeout, too many requests.
 AMBIGUOUS_CLIENT_ERRORS = (408, 429)
+# How long a response of unknown length is kept, so that another attempt may replace it. Then it is passed on
+# as it comes, and is no longer cut off at the deadline, like one that is known to be long.
+KEPT_RESPONSE_US = 100_000
 
 
 class AttemptEnd(NamedTuple):
@@ -64,6 +67,7 @@
         self.body = StreamingBody(dispatcher.pool)
         self.reader = ResponseReader(self.body, MAX_BODY_BYTES, command.request.method == b"HEAD")
         self.is_streaming = False
+        self._kept_until_us = NEVER  # once the response has begun
 
     def run(self, stream: SocketStream, now_us: int) -> AttemptEnd:
         """Sends the request and reads the response.
@@ -244,16 +248,37 @@
         if count == 0:
             self.reader.on_connection_closed()
         elif count < 0:
-            if self.is_streaming:  # the client already has a part of it: only gaps between bytes are limited
-                until_us = self.dispatcher.now() + self.dispatcher.peer_timeout_us
-            stream.wait(READABLE, until_us, wakes_on_message=True)
+            return self._wait_for_rest(stream, until_us)
         else:
+            if self._kept_until_us == NEVER:
+                self._kept_until_us = self.dispatcher.now() + KEPT_RESPONSE_US
             stream.feed_to(self.reader.feed)
             if self.reader.has_head and not self.is_streaming:
                 return self._is_rest_wanted()
             self._check_limits(until_us)
         return True
 
+    def _wait_for_rest(self, stream: SocketStream, until_us: int) -> bool:
+        """Waits for more of the response; returns False if the rest of it is not needed."""
+        if self.is_streaming:  # the client already has a part of it: only gaps between bytes are limited
+            stream.wait(
+                READABLE, self.dispatcher.now() + self.dispatcher.peer_timeout_us, wakes_on_message=True
+            )
+            return True
+        kept_until_us = self._kept_until_us if self._has_unknown_length() else NEVER
+        try:
+            stream.wait(READABLE, min(until_us, kept_until_us), wakes_on_message=True)
+        except StreamTimeoutError:
+            if kept_until_us >= until_us:
+                raise
+            return self._start_streaming()
+        return True
+
+    def _has_unknown_length(self) -> bool:
+        """Returns whether only the end of a successful response will tell its length."""
+        reader = self.reader
+        return reader.has_head and reader.status == OK and reader.content_length is None
+
     def _check_limits(self, until_us: int) -> None:
         """Checks the limits of the wait for a response, where more keeps coming so that there is no wait.
 
@@ -272,10 +297,15 @@
         Starts streaming to the client if the response is too large to be kept.
         """
         reader = self.reader
-        if self.body.pipe is None and (reader.content_length or 0) <= KEPT_BODY_BYTES:
+        is_short = self.body.pipe is None and (reader.content_length or 0) <= KEPT_BODY_BYTES
+        is_kept = reader.is_complete or not self._has_unknown_length()
+        if is_short and (is_kept or self.dispatcher.now() < self._kept_until_us):
             return True
-        if reader.status != OK:
-            return False  # the body of a failed attempt is not used
+        return reader.status == OK and self._start_streaming()  # the body of a failed attempt is not used
+
+    def _start_streaming(self) -> bool:
+        """Starts to pass the response on as it comes; returns whether a client receives it."""
+        reader = self.reader
         self.body.start_streaming()
         content_type = reader.header(b"content-type")
         response = Response(OK, self.body, content_type, content_length=reader.content_length)
--- a/tests/faults/test_slow_answer.py
+++ b/tests/faults/test_slow_answer.py
@@ -42,7 +42,7 @@
         peer.sock.sendall(chunk_bytes(b""))
 
 
-@pytest.mark.parametrize("framing", ["length"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "until close"])
 def test_answer_that_is_written_slowly_is_passed_on_as_it_comes(
     start_endpoint: StartEndpoint, start_sidecar: StartSidecar, framing: str
 ) -> None:
