Memory: what connections and fields take is counted, and the buffers get what is left

Causes, of one kind: memory that no limit counted. (1) The pool got half of the memory limit, whatever the process itself and its connections take. (2) A head of 8,000 bytes may have 2,000 fields, each of some 250 bytes once parsed. (3) 2,000 waiting log lines of up to 4 kB each. Evidence: limit 64 MB, 400 clients, peak of the resident memory: 69.1 MB where they stop amid 4 MB bodies, 119.7 MB where they stop after 1,400 short fields and 10 bytes of body. Change: the pool gets at most what the limit leaves beside the process as it starts, all allowed connections with all allowed fields, and some spare; at most half, as before. A head has at most 100 fields (431 beyond; interim and endpoints' heads too). Log lines wait up to 1 MiB.

--- a/cressrail/http1/headers.py
+++ b/cressrail/http1/headers.py
@@ -8,9 +8,11 @@
 from cressrail.http1.errors import HeaderSectionTooLargeError, MalformedMessageError
 
 MAX_HEADER_SECTION_BYTES = 8000  # length of a whole head, which must fit in one buffer of the pool
+MAX_HEADER_FIELDS = 100  # a parsed field takes many times the memory and work of its bytes
 MAX_CONTENT_LENGTH_DIGITS = 15
 # Error messages that the admin API returns as the body of a 400 response, so their texts must not change.
 HEAD_TOO_LARGE = "head too large"
+TOO_MANY_FIELDS = f"more than {MAX_HEADER_FIELDS} fields"
 MALFORMED_FIELD_LINE = "field that is none"
 TOKEN_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 # Matches a field name, and a value without leading blanks and without control characters other than tab.
@@ -67,7 +69,8 @@
         The length of the head in bytes, its start line and its fields, or None if the head is incomplete.
 
     Raises:
-        HeaderSectionTooLargeError: The head is longer than `MAX_HEADER_SECTION_BYTES`.
+        HeaderSectionTooLargeError: The head is longer than `MAX_HEADER_SECTION_BYTES`, or has more than
+            `MAX_HEADER_FIELDS` fields.
         MalformedMessageError: A line of the header section is not a valid field line.
     """
     text = bytes(data)
@@ -78,6 +81,8 @@
     if end < 0:
         return None
     start_line, *lines = text[start:end].split(b"\r\n")
+    if len(lines) > MAX_HEADER_FIELDS:
+        raise HeaderSectionTooLargeError(TOO_MANY_FIELDS)
     headers = Headers()
     for line in lines:
         found = FIELD_LINE_PATTERN.match(line)
--- a/cressrail/logs/log_writer.py
+++ b/cressrail/logs/log_writer.py
@@ -13,6 +13,7 @@
 from cressrail.logs import events
 
 MAX_WAITING_LINES = 2000
+MAX_WAITING_BYTES = 1 << 20
 MAX_LINE_BYTES = 4096  # PIPE_BUF: a writable pipe accepts a write of up to this size as a whole
 MAX_SHOWN_BYTES = MAX_LINE_BYTES // 2  # part of an event that is kept if it can't be written unchanged
 
@@ -25,6 +26,7 @@
 
     Attributes:
         waiting_lines: Encoded lines that have not been written yet, oldest first.
+        waiting_bytes: Their length.
         dropped_lines: Number of lines dropped since that number was last logged.
     """
 
@@ -40,13 +42,14 @@
         self.now = now
         self.name = name
         self.waiting_lines: deque[bytes] = deque()
+        self.waiting_bytes = 0
         self.dropped_lines = 0
         self.poller = select.poll()
         self.poller.register(fd, select.POLLOUT)
 
     def write_event(self, event: str, fields: dict[str, Any]) -> None:
         """Queues one line; an event that JSON can't represent or that is too long becomes truncated text."""
-        if len(self.waiting_lines) >= MAX_WAITING_LINES:
+        if len(self.waiting_lines) >= MAX_WAITING_LINES or self.waiting_bytes >= MAX_WAITING_BYTES:
             self.dropped_lines += 1
             return
         at_us = self.now()
@@ -62,6 +65,7 @@
             shown = line[:MAX_SHOWN_BYTES].decode("utf-8", "replace")
             line = _encode_shortened(at_us, self.name, event, "cut", shown)
         self.waiting_lines.append(line)
+        self.waiting_bytes += len(line)
 
     def flush(self) -> None:
         """Writes as many queued lines as the descriptor accepts without blocking."""
@@ -69,10 +73,12 @@
             text = self.waiting_lines.popleft()
             while self.waiting_lines and len(text) + len(self.waiting_lines[0]) <= MAX_LINE_BYTES:
                 text += self.waiting_lines.popleft()
+            self.waiting_bytes -= len(text)
             try:
                 os.write(self.fd, text)
             except OSError:  # the reader of the log has closed its end
                 self.waiting_lines.clear()
+                self.waiting_bytes = 0
                 return
             if self.dropped_lines and not self.waiting_lines:
                 dropped, self.dropped_lines = self.dropped_lines, 0
--- a/cressrail/network/server.py
+++ b/cressrail/network/server.py
@@ -15,7 +15,7 @@
 from cressrail.event_loop.scheduler import Scheduler
 from cressrail.logs import events
 from cressrail.logs.log_writer import LogWriter
-from cressrail.network import admin_server, handover_server, listener
+from cressrail.network import admin_server, handover_server, listener, memory_budget
 from cressrail.network.admin_server import AdminServerTask
 from cressrail.network.configuration_reload import ConfigurationReload
 from cressrail.network.discovery_watch import DiscoveryWatchTask
@@ -44,7 +44,6 @@
 ENDPOINT_CONNECTIONS_SHARE = 3 / 8
 EXTRA_CLIENTS_DIVISOR = 16  # 1/16 of the descriptors are for clients beyond the limit, answered with 503
 MIN_EXTRA_CLIENTS = 4
-BUFFERS_SHARE = 0.5  # of the memory limit, for the buffer pool
 BYTES_PER_MB = 1 << 20
 GC_THRESHOLD = 5_000  # allocations between collections of the youngest generation; requests leave few cycles
 
@@ -163,7 +162,13 @@
     state_machine: StateMachine,
     log: LogWriter,
 ) -> CommandDispatcher:
-    pool_bytes = int(configuration.memory_limit_mb * BUFFERS_SHARE * BYTES_PER_MB)
+    limits = state_machine.limits
+    pool_bytes = memory_budget.buffer_bytes(
+        int(configuration.memory_limit_mb * BYTES_PER_MB),
+        memory_budget.resident_bytes(),
+        limits.clients + limits.extra_clients,
+        limits.endpoint_connections,
+    )
     connect_timeout_us, idle_timeout_us = policy_factory.read_connection_timeouts(configuration.settings)
     return CommandDispatcher(
         scheduler,
