Request ids stay in use while a request may run whose client has left

Cause: drop_request released the id at once, while the endpoint may have run the request, or may yet run it. Change: where an attempt may have run or is in flight, the id stays in use for ten times the longest deadline, 4,096 ids at most; a request with it is answered 400, as while the first waits. One that was still being received, or was never sent, frees its id as before. tests/proxy/test_intake.py pinned the id to be free at once after the client left: that was the fault; two tests take its place, which also pin the time after which it is free.

--- a/cressrail/proxy/requests.py
+++ b/cressrail/proxy/requests.py
@@ -15,6 +15,12 @@
 IDEMPOTENCY_KEY_FIELD = b"idempotency-key"
 
 
+MAX_LEFT_IDS = 4096  # the oldest are forgotten first
+# How long the id of a request stays in use that may have run although its client has left; times the longest
+# deadline.
+LEFT_ID_DEADLINES = 10
+
+
 class PendingRequest:
     """A forwarded request, with the data that the load balancer does not need.
 
@@ -78,6 +84,8 @@
     Attributes:
         pending: Requests that are unanswered or have an attempt in flight.
         open_ids: Ids of the requests that wait for a response, with the client of each.
+        left_ids: Ids of requests that may have run although their client left before the response, each with
+            the time in us until which no other request may use it; the oldest first.
         predecessor_ids: Ids of the requests that wait for a response at the predecessor process, each with
             the time in us at which its reservation ends at the latest.
     """
@@ -85,6 +93,7 @@
     def __init__(self) -> None:
         self.pending: dict[RoutedRequest, PendingRequest] = {}
         self.open_ids: dict[str, int] = {}
+        self.left_ids: dict[str, int] = {}
         self.predecessor_ids: dict[str, int] = {}
 
     def add(self, routed_request: RoutedRequest, pending: PendingRequest) -> None:
@@ -93,8 +102,23 @@
         self.open_ids[pending.request_id] = pending.client
 
     def is_id_in_use(self, now_us: int, request_id: str) -> bool:
-        """Returns whether a request with this id waits for its response, here or at the predecessor."""
-        return request_id in self.open_ids or self.predecessor_ids.get(request_id, 0) > now_us
+        """Returns whether a request with this id waits for its response, or may run although nobody waits."""
+        return (
+            request_id in self.open_ids
+            or self.left_ids.get(request_id, 0) > now_us
+            or self.predecessor_ids.get(request_id, 0) > now_us
+        )
+
+    def keep_left_id(self, now_us: int, routed_request: RoutedRequest, until_us: int) -> None:
+        """Keeps the id of a request whose client has left, if an attempt may have run or may yet run."""
+        if not (routed_request.in_flight or routed_request.fixed_endpoint):
+            return
+        request_id = self.pending[routed_request].request_id
+        self.left_ids.pop(request_id, None)
+        self.left_ids[request_id] = until_us
+        oldest = next(iter(self.left_ids))
+        if len(self.left_ids) > MAX_LEFT_IDS or self.left_ids[oldest] <= now_us:
+            del self.left_ids[oldest]
 
     def release_id(self, routed_request: RoutedRequest) -> None:
         """Makes the request's id available to other requests: it was answered, or its client has left."""
--- a/tests/proxy/test_intake.py
+++ b/tests/proxy/test_intake.py
@@ -6,6 +6,7 @@
 
 from cressrail.policy.outcome import Outcome
 from cressrail.proxy import commands
+from cressrail.proxy.requests import LEFT_ID_DEADLINES
 from tests.proxy.support import ProxyDriver, list_update
 from tests.support.configuration import SECOND
 
@@ -33,24 +34,40 @@
     )
 
 
-def test_request_id_is_reserved_until_response_or_disconnect() -> None:
+def take_statuses(driver: ProxyDriver) -> list[tuple[int, int]]:
+    """Returns client and status of the responses sent so far."""
+    return [(write.client, write.response.status) for write in driver.take_commands(commands.SendResponse)]
+
+
+def test_request_id_is_reserved_until_response() -> None:
     driver = ProxyDriver()
-    for client in (1, 2, 3):
+    for client in (1, 2):
         driver.connect_client(client)
     driver.send_request(1, req_id="same")
     driver.send_request(2, req_id="same")
     command = driver.take_attempt()
-    assert [
-        (write.client, write.response.status) for write in driver.take_commands(commands.SendResponse)
-    ] == [(2, 400)]
+    assert take_statuses(driver) == [(2, 400)]
+    driver.finish_attempt(command, Outcome.SUCCEEDED)
+    assert take_statuses(driver) == [(1, 200)]
+    assert not driver.state_machine.requests.open_ids
+    driver.send_request(2, req_id="same")
+    assert driver.take_attempt()
+
+
+def test_request_id_stays_reserved_if_the_request_may_have_run_for_a_client_that_left() -> None:
+    driver = ProxyDriver()
+    for client in (1, 2, 3):
+        driver.connect_client(client)
+    driver.send_request(1, req_id="same")
+    command = driver.take_attempt()
     driver.commands += driver.state_machine.on_client_closed(0, 1)
-    driver.send_request(3, req_id="same")
-    later = driver.take_attempt()
+    driver.send_request(2, req_id="same")
+    assert take_statuses(driver) == [(2, 400)]
     driver.finish_attempt(command, Outcome.CANCELLED)
-    driver.finish_attempt(later, Outcome.SUCCEEDED)
-    assert [write.response.status for write in driver.take_commands(commands.SendResponse)] == [200]
     assert not driver.state_machine.requests.open_ids
-    driver.send_request(3, req_id="same")
+    driver.send_request(2, req_id="same")
+    assert take_statuses(driver) == [(2, 400)]
+    driver.send_request(3, req_id="same", now=LEFT_ID_DEADLINES * 3 * SECOND + 1)
     assert driver.take_attempt()
 
 
