No attempt while much unread input of its client may hide that it has left

Cause: a close is passed on behind the data; while the receive window is shut by requests that wait unread, the kernel does not know of it, so the look before each attempt finds the client there. Change: where the client's connection has unread input, the kernel is asked how much of its receive memory is in use (SO_MEMINFO); over a quarter, the attempt is not sent, so that the request is rejected (503, never ran). The next ones are read, until the close is seen or the window is open again. Clients that send one request at a time have no unread input and cost nothing more.

--- a/cressrail/network/dispatcher.py
+++ b/cressrail/network/dispatcher.py
@@ -106,6 +106,11 @@
         stream = self.client_streams.get(client)
         return stream is not None and stream.has_peer_closed()
 
+    def may_client_hide_close(self, client: int) -> bool:
+        """Returns whether a client may have closed its connection unseen, behind much unread input."""
+        stream = self.client_streams.get(client)
+        return stream is not None and stream.may_hide_close()
+
     def client_connection_closed(self, number: int) -> None:
         """Removes a client connection; its task calls this last."""
         del self.clients[number], self.client_streams[number]
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -156,6 +156,8 @@
         client = state_machine.waiting_client(command.attempt)
         if client and dispatcher.has_client_disconnected(client):
             dispatcher.dispatch(state_machine.on_client_disconnected(now_us, client))
+        elif client and not command.request.is_streaming and dispatcher.may_client_hide_close(client):
+            return AttemptEnd(Outcome.NOT_SENT, "much unread input of the client may hide its close", True)
         unsent = state_machine.check_before_send(now_us, command.attempt)
         if unsent is not None:
             outcome, reason = unsent
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -19,7 +19,12 @@
     WRITABLE,
     Scheduler,
 )
-from cressrail.network.tcp_information import KERNEL_TICK_US, time_since_last_input_us, undelivered_bytes
+from cressrail.network.tcp_information import (
+    KERNEL_TICK_US,
+    may_hide_close,
+    time_since_last_input_us,
+    undelivered_bytes,
+)
 
 MAX_BUFFERS_PER_WRITE = 64
 # Errors that report exhausted resources of this process or system; they are not caused by the peer.
@@ -229,6 +234,10 @@
         """Returns whether the peer has closed or reset the connection, even if input is still unread."""
         return bool(self._pending_events() & ~READABLE)
 
+    def may_hide_close(self) -> bool:
+        """Returns whether the peer may have closed unseen by `has_peer_closed`, behind unread input."""
+        return self._pending_events() == READABLE and may_hide_close(self.sock)
+
     def has_input(self) -> bool:
         """Returns whether there is something to read: data, or the end of the stream."""
         return bool(self._pending_events())
--- a/cressrail/network/tcp_information.py
+++ b/cressrail/network/tcp_information.py
@@ -11,6 +11,10 @@
 # The start of struct tcp_info (linux/tcp.h), of which two members are read: the retransmission time-out in
 # microseconds and the time since the last data was received in milliseconds.
 TCP_INFO_START = struct.Struct("=8xI40xI")
+SO_MEMINFO = 55  # sock_diag(7); the socket module does not name it
+MEMORY_INFO_START = struct.Struct("=II")  # memory in use for received data, and its limit, in bytes
+SURE_BUFFER_DIVISOR = 4  # the window for more stays open while at most this part of the memory is in use
+MAX_SURE_UNREAD_BYTES = 8192  # the same where the system does not tell the memory
 US_PER_MS = 1000
 KERNEL_TICK_US = 10_000  # the longest tick in which the kernel counts
 
@@ -33,6 +37,19 @@
     return _queue_bytes(sock, termios.TIOCOUTQ)
 
 
+def may_hide_close(sock: socket.socket) -> bool:
+    """Returns whether so much input waits in the kernel that a close of the peer may wait behind it, unseen.
+
+    A peer can't pass on its close while it may not send more, which the receive buffer decides.
+    """
+    try:
+        information = sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO_START.size)
+        used, limit = MEMORY_INFO_START.unpack(information)
+    except (OSError, struct.error):
+        return unread_bytes(sock) >= MAX_SURE_UNREAD_BYTES
+    return bool(used * SURE_BUFFER_DIVISOR > limit)
+
+
 def _queue_bytes(sock: socket.socket, request: int) -> int:
     try:
         return int.from_bytes(fcntl.ioctl(sock.fileno(), request, bytes(4)), sys.byteorder)
--- /dev/null
+++ b/tests/faults/test_client_left.py
@@ -0,0 +1,104 @@
+"""Requests of clients that have left are not sent on, and their ids do not run twice."""
+
+from __future__ import annotations
+
+import socket
+import time
+from contextlib import suppress
+
+import pytest
+
+from tests.faults.conftest import StartEndpoint, StartSidecar
+from tests.faults.support import EndpointPeer, Sidecar, read_answer
+from tests.support.http_messages import request_bytes, response_bytes
+
+WORK_S = 0.4
+AFTER_CLOSE_S = 0.1  # an attempt that begins later than this after the close is a break
+PIPELINED = 1500  # more than the buffers of the connection hold
+
+
+def work(peer: EndpointPeer) -> None:
+    """Answers each request after some work, also where nobody waits for the answer."""
+    while (request_id := peer.read_request()) is not None:
+        time.sleep(WORK_S)
+        peer.sock.sendall(response_bytes(request_id.encode()))
+
+
+def work_shortly(peer: EndpointPeer) -> None:
+    """Answers each request after 20 ms."""
+    while (request_id := peer.read_request()) is not None:
+        time.sleep(0.02)
+        peer.sock.sendall(response_bytes(request_id.encode()))
+
+
+def send_and_leave(sidecar: Sidecar, request: bytes) -> None:
+    """Sends a request and closes while the endpoint works."""
+    with sidecar.connect() as sock:
+        sock.sendall(request)
+        time.sleep(WORK_S / 4)
+
+
+@pytest.mark.parametrize("pause_s", [0.02, WORK_S / 2, WORK_S * 3])
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_id_of_a_client_that_left_does_not_run_again(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, pause_s: float, may_cancel: bool
+) -> None:
+    """Guards against an id that is free again while its request may have run, or may yet run."""
+    endpoints = [start_endpoint("s0", work), start_endpoint("s1", work)]
+    sidecar = start_sidecar(*endpoints, may_cancel=may_cancel)
+    request = request_bytes("write", Idempotency_Key="", Req_Id="again")
+    send_and_leave(sidecar, request)
+    time.sleep(pause_s)
+    with sidecar.connect() as sock:
+        sock.sendall(request)
+        assert read_answer(sock, time.monotonic()).status in (400, 503)
+    assert sum(endpoint.arrivals_of("again") for endpoint in endpoints) == 1
+
+
+def test_id_of_a_client_that_left_before_any_attempt_is_free(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar
+) -> None:
+    """A request that was never sent has not run, so its client may come again with the same id."""
+    endpoint = start_endpoint("s0", work)
+    sidecar = start_sidecar(endpoint)
+    request = request_bytes("write", b"body", Idempotency_Key="", Req_Id="again")
+    with sidecar.connect() as sock:
+        sock.sendall(request[:-1])
+        time.sleep(0.1)
+    with sidecar.connect() as sock:
+        sock.sendall(request)
+        assert read_answer(sock, time.monotonic()).status == 200
+    assert endpoint.arrivals_of("again") == 1
+
+
+@pytest.mark.parametrize("request_class", ["read", "write"])
+@pytest.mark.parametrize("padding", [0, 400])
+def test_requests_behind_the_close_of_their_client_are_not_sent(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, request_class: str, padding: int
+) -> None:
+    """Guards against a close that nobody sees, since it waits behind more input than the buffers hold."""
+    endpoint = start_endpoint("s0", work_shortly)
+    sidecar = start_sidecar(endpoint)
+    requests = b"".join(request_bytes(request_class, bytes(padding)) for _ in range(PIPELINED))
+    with sidecar.connect() as sock:
+        sock.setblocking(False)
+        unsent = memoryview(requests)
+        with suppress(BlockingIOError):
+            while unsent:
+                unsent = unsent[sock.send(unsent) :]
+        sock.setblocking(True)
+        read_for(sock, 0.5)
+        sock.shutdown(socket.SHUT_WR)  # a close with answers unread would reset the connection, which is seen
+        closed_s = time.monotonic()
+        read_for(sock, 1.0)
+    late = [arrival for arrival in endpoint.arrivals if arrival.at_s > closed_s + AFTER_CLOSE_S]
+    assert len(late) == 0, (len(late), len(endpoint.arrivals))
+
+
+def read_for(sock: socket.socket, seconds: float) -> None:
+    """Reads answers for a while."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        sock.settimeout(0.05)
+        with suppress(TimeoutError):
+            sock.recv(65536)
