Endpoints at whose address another process has started later get nothing more

Cause: the registry goes by names; while the old name is still listed at that address, what is meant for it goes to the new process, beside its own slow-start share. Change: of endpoints that are listed at one address, those whose process started earlier than the latest get nothing more until discovery lists them elsewhere or anew. Those with the same start (0 for long ago) are left as they are. A connection is kept after an attempt only if it leads to the process that is listed now; only the address was compared, so a restart during the attempt left it idle, and the next request on it ended as declined.

--- a/cressrail/proxy/endpoint_connections.py
+++ b/cressrail/proxy/endpoint_connections.py
@@ -80,15 +80,14 @@
     def release(self, now_us: int, connection: int) -> list[Command]:
         """Makes a connection idle after its attempt has ended.
 
-        Returns the command to close the connection if its endpoint was removed or has another address now.
+        Returns the command to close the connection if its endpoint was removed, restarted or moved.
         Otherwise the connection may be reused after `CONNECTION_SETTLE_US`, so that a second response to this
         attempt is not mistaken for the response to the next one: responses don't name their requests.
         """
         released = self.open[connection]
         released.settled_us = now_us + CONNECTION_SETTLE_US
         registered = self.registry.endpoints[released.endpoint]
-        has_moved = (registered.host, registered.port) != (released.host, released.port)
-        if registered.entry.is_removed or has_moved:
+        if registered.entry.is_removed or not released.leads_to(registered):
             return [CloseEndpointConnection(connection)]
         registered.idle.append(connection)
         self.idle[connection] = None
--- a/cressrail/proxy/endpoint_registry.py
+++ b/cressrail/proxy/endpoint_registry.py
@@ -73,8 +73,29 @@
             self._apply_entry(entry, changes)
         if update.is_complete:
             self._remove_all_but({entry.name for entry in entries}, changes)
+        self._supersede(entries, changes)
         return changes
 
+    def _supersede(self, entries: list[EndpointEntry], changes: RegistryChanges) -> None:
+        """Takes endpoints out of use at whose address a process has started later, under another name.
+
+        Whatever was sent to them would reach the later one, until discovery tells that they have gone.
+        """
+        changed = {(entry.host, entry.port) for entry in entries if not entry.is_removed}
+        listed: dict[tuple[str, int], list[int]] = {}
+        for index, registered in self.endpoints.items():
+            address = registered.host, registered.port
+            if address in changed and not registered.entry.is_removed:
+                listed.setdefault(address, []).append(index)
+        for indices in listed.values():
+            latest_us = max(self.endpoints[index].entry.started_us for index in indices)
+            for index in indices:
+                registered = self.endpoints[index]
+                if registered.entry.started_us < latest_us and registered.entry.accepts_requests:
+                    registered.entry = registered.entry._replace(accepts_requests=False)
+                    changes.stale_connections.extend(registered.idle)
+                    changes.updates.append(self._update_of(index, registered.entry))
+
     def _apply_entry(self, entry: EndpointEntry, changes: RegistryChanges) -> None:
         index = self.indices.get(entry.name)
         if index is None:
@@ -88,21 +109,21 @@
         if has_moved:
             registered.host, registered.port = entry.host, entry.port
         registered.entry = entry
-        zone = self.zones.setdefault(entry.zone, len(self.zones))
-        changes.updates.append(
-            EndpointUpdate(
-                index,
-                zone,
-                entry.cell,
-                entry.scale,
-                entry.accepts_requests,
-                entry.started_us,
-                crc32(entry.name.encode()),
-            )
-        )
+        changes.updates.append(self._update_of(index, entry))
         if entry.is_removed:
             changes.removed.append(index)
 
+    def _update_of(self, index: int, entry: EndpointEntry) -> EndpointUpdate:
+        return EndpointUpdate(
+            index,
+            self.zones.setdefault(entry.zone, len(self.zones)),
+            entry.cell,
+            entry.scale,
+            entry.accepts_requests,
+            entry.started_us,
+            crc32(entry.name.encode()),
+        )
+
     def _add(self, entry: EndpointEntry) -> int:
         index = self.indices[entry.name] = self.next_index
         self.next_index += 1
--- a/tests/faults/support.py
+++ b/tests/faults/support.py
@@ -156,11 +156,13 @@
         handover_folder: Path | None = None,
         discovery: str | None = None,
         command: list[str] = COMMAND,
+        may_cancel: bool = True,
         **changes: Any,
     ) -> None:
         configuration = copy.deepcopy(SIDECAR_CONFIGURATION)
         members = [endpoint_entry(endpoint.name, endpoint.port) for endpoint in endpoints]
         configuration["known"]["members"] = members
+        configuration["settings"]["limits"]["may_cancel"] = may_cancel
         self.address = address or unused()
         configuration["listen"] = f"{self.address[0]}:{self.address[1]}"
         host, port = unused()
