Upgrades: both processes know the ids that either has taken

Cause: the successor learnt the ids that were open when it took over, once; a request on a connection that the predecessor kept, or at the successor, was not known to the other, and at the predecessor's exit all were free. Evidence: real processes, id first at either one, its client waiting or gone: four of four ran twice. Change: while both serve, each tells the other the id of each request that it forwards (frame 'id' on the hand-over's connection); ids that a client that left has used go with the state. They stay in use for ten times the longest deadline, 4,096 at most. Old versions: an old successor passes the frames over; an old predecessor is told none, as it does not say takes_ids in its state. tests/handover/test_takeover.py pinned that the predecessor's exit frees the ids: a process that is killed leaves requests that may have run; the test now pins that they stay in use, and for how long. Result: four of four run once.

--- a/cressrail/handover/frame.py
+++ b/cressrail/handover/frame.py
@@ -27,6 +27,7 @@
     LISTENING = "here"  # the predecessor sends its listening socket and the endpoint list
     TAKE_OVER = "take"  # the successor is ready and requests the state
     STATE = "estate"  # the predecessor has stopped accepting clients and sends its state
+    ID_TAKEN = "id"  # either process has forwarded a request with this id since the hand-over
     EXITED = "bye"  # the successor exits after its own hand-over: the predecessor must not serve again
 
 
--- a/cressrail/network/handover_client.py
+++ b/cressrail/network/handover_client.py
@@ -16,9 +16,11 @@
     HELD_RESOURCES,
     LISTEN_ADDRESS,
     READ_BYTES,
+    TAKES_IDS,
     HandoverConnection,
     HeldResources,
 )
+from cressrail.network.request_id_exchange import RequestIdExchange
 
 FIRST_ANSWER_TIMEOUT_S = 1.0  # a serving process answers within one round of its event loop
 STATE_TIMEOUT_US = 1_000_000
@@ -113,6 +115,7 @@
         self.dispatcher = dispatcher
         self.connection = HandoverConnection(dispatcher.scheduler, predecessor.sock, predecessor.frames)
         self.held = HeldResources()
+        self.exchange = RequestIdExchange(dispatcher, self.connection)
 
     def take_over(self) -> None:
         """Waits for `BeginTakeover`, then requests the predecessor's state and takes over."""
@@ -128,15 +131,21 @@
             dispatcher.now(), state, self.held.clients, self.held.connections
         )
         dispatcher.dispatch(commands)
+        if state is not None and state.get(TAKES_IDS) is True:
+            self.exchange.start()
 
     def wait_for_exit(self) -> None:
         """Waits until the predecessor has exited, and claims the resources that it held."""
         dispatcher = self.dispatcher
         try:
+            with suppress(OSError, HandoverError, ValueError):
+                while self.exchange.receive() is not None:
+                    pass
             with suppress(OSError):
                 while self.connection.receive():
-                    pass  # the predecessor sends nothing of interest after its state
+                    pass
         finally:
+            self.exchange.stop()
             self.connection.close()
             dispatcher.pool.max_lent += self.held.buffers
             commands = dispatcher.state_machine.on_predecessor_exited(
@@ -150,8 +159,7 @@
         Called after the event loop has ended, so it must not block.
         """
         if self.dispatcher.state_machine.lifecycle.has_handed_over:
-            with suppress(OSError):
-                self.connection.sock.send(encode_frame(FrameKind.EXITED, {}))
+            self.exchange.send(encode_frame(FrameKind.EXITED, {}))
 
     def _receive_state(self) -> dict[str, Any] | None:
         """Returns the predecessor's state; None if the predecessor has exited or sent something invalid."""
--- a/cressrail/network/handover_connection.py
+++ b/cressrail/network/handover_connection.py
@@ -13,6 +13,7 @@
 MAX_PATH_BYTES = 100  # for the path of a Unix socket; the system limit is slightly higher
 # Frame members in addition to those of the hand-over state.
 LISTEN_ADDRESS, ENDPOINT_LIST, HELD_RESOURCES = "listen", "list", "held"
+TAKES_IDS = "takes_ids"  # whether the predecessor understands `FrameKind.ID_TAKEN`
 
 
 def rendezvous_path(listen: tuple[str, int], temporary_folder: str | None) -> str | None:
--- a/cressrail/network/handover_server.py
+++ b/cressrail/network/handover_server.py
@@ -16,9 +16,11 @@
     ENDPOINT_LIST,
     HELD_RESOURCES,
     LISTEN_ADDRESS,
+    TAKES_IDS,
     HandoverConnection,
     HeldResources,
 )
+from cressrail.network.request_id_exchange import RequestIdExchange
 
 if TYPE_CHECKING:
     from cressrail.network.membership_transport import MembershipTransport
@@ -100,16 +102,19 @@
     def _serve(self, sock: socket.socket) -> None:
         """Serves one successor until it exits; then this process serves again, unless `EXITED` was sent."""
         has_handed_over = serves_again = False
+        connection = HandoverConnection(self.dispatcher.scheduler, sock)
+        exchange = RequestIdExchange(self.dispatcher, connection)
         try:
-            connection = HandoverConnection(self.dispatcher.scheduler, sock)
             if _is_same_user(sock) and self._offer_takeover(connection):
                 has_handed_over = serves_again = True
                 self._hand_over(connection)
-                frame = connection.receive_frame()
+                exchange.start()
+                frame = exchange.receive()
                 serves_again = frame is None or frame.kind != FrameKind.EXITED
         except (OSError, HandoverError, ValueError) as error:
             self.dispatcher.log.write_event(events.HANDOVER_PEER_REJECTED, {"reason": str(error)})
         finally:
+            exchange.stop()
             sock.close()
             if has_handed_over and serves_again:
                 self._serve_again()
@@ -133,7 +138,7 @@
         dispatcher = self.dispatcher
         state, commands = dispatcher.state_machine.hand_over(dispatcher.now())
         dispatcher.dispatch(commands)
-        fields = {**state, HELD_RESOURCES: list(self._limit_held_resources())}
+        fields = {**state, HELD_RESOURCES: list(self._limit_held_resources()), TAKES_IDS: True}
         connection.send(encode_frame(FrameKind.STATE, fields), dispatcher.now() + PEER_TIMEOUT_US)
         if self.membership is not None:
             self.membership.yield_to_successor()
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -23,7 +23,7 @@
 from cressrail.proxy.lifecycle import Lifecycle
 from cressrail.proxy.request_counters import RequestCounters
 from cressrail.proxy.requests import (
-    LEFT_ID_DEADLINES,
+    KEPT_ID_DEADLINES,
     TENANT_FIELD,
     PendingRequest,
     PendingRequests,
@@ -276,7 +276,7 @@
             return []
         self.requests.release_id(routed_request)
         if not routed_request.is_uploading:
-            until_us = now_us + LEFT_ID_DEADLINES * self.lifecycle.max_deadline_us
+            until_us = now_us + KEPT_ID_DEADLINES * self.lifecycle.max_deadline_us
             self.requests.keep_left_id(now_us, routed_request, until_us)
         commands = self._apply_decisions(now_us, routed_request.on_client_disconnected())
         streaming = self.requests.pending[routed_request].streaming_attempt
--- a/cressrail/proxy/process_handover.py
+++ b/cressrail/proxy/process_handover.py
@@ -12,7 +12,7 @@
 from cressrail.proxy.commands import Command, LogEvent
 from cressrail.proxy.endpoint_registry import EndpointRegistry
 from cressrail.proxy.lifecycle import Lifecycle
-from cressrail.proxy.requests import PendingRequests
+from cressrail.proxy.requests import KEPT_ID_DEADLINES, PendingRequests
 
 # Member names in the hand-over frames.
 OPEN_REQUEST_IDS = "open"
@@ -43,7 +43,7 @@
         """Returns the state that the successor starts from."""
         return {
             **handover_state.capture(self.load_balancer, self.registry.names()),
-            OPEN_REQUEST_IDS: list(self.requests.open_ids),
+            OPEN_REQUEST_IDS: self.requests.taken_ids(),
             IS_OUT_OF_SERVICE: self.lifecycle.is_out_of_service,
         }
 
@@ -65,9 +65,14 @@
             handover_state.restore(state, self.load_balancer, self.registry.names(), now_us)
         except HandoverError as fault:
             return LogEvent(events.TOOK_OVER, {"state_rejected": str(fault)})
-        until_us = now_us + self.lifecycle.max_deadline_us
-        self.requests.add_predecessor_ids(request_ids, until_us)
+        for request_id in request_ids:
+            self.reserve_id(now_us, str(request_id))
         if state.get(IS_OUT_OF_SERVICE) is True:
             self.lifecycle.inherit_out_of_service(now_us)
-        counts = {"open": len(self.requests.predecessor_ids), "clients": clients_held}
+        counts = {"open": len(self.requests.other_ids), "clients": clients_held}
         return LogEvent(events.TOOK_OVER, counts)
+
+    def reserve_id(self, now_us: int, request_id: str) -> None:
+        """Reserves the id of a request that the other process has taken."""
+        until_us = now_us + KEPT_ID_DEADLINES * self.lifecycle.max_deadline_us
+        self.requests.reserve_other_id(now_us, request_id, until_us)
--- a/cressrail/proxy/requests.py
+++ b/cressrail/proxy/requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from cressrail.http1.request import Request
 from cressrail.policy.routed_request import RoutedRequest
@@ -15,10 +15,10 @@
 IDEMPOTENCY_KEY_FIELD = b"idempotency-key"
 
 
-MAX_LEFT_IDS = 4096  # the oldest are forgotten first
-# How long the id of a request stays in use that may have run although its client has left; times the longest
-# deadline.
-LEFT_ID_DEADLINES = 10
+MAX_KEPT_IDS = 4096  # the oldest are forgotten first
+# How long the id of a request stays in use that may have run although its client has left, or that the other
+# process of an upgrade has taken; times the longest deadline.
+KEPT_ID_DEADLINES = 10
 
 
 class PendingRequest:
@@ -86,39 +86,38 @@
         open_ids: Ids of the requests that wait for a response, with the client of each.
         left_ids: Ids of requests that may have run although their client left before the response, each with
             the time in us until which no other request may use it; the oldest first.
-        predecessor_ids: Ids of the requests that wait for a response at the predecessor process, each with
-            the time in us at which its reservation ends at the latest.
+        other_ids: Ids of requests that the other process of an upgrade has taken, each with the time in us
+            until which no request may use it here; the oldest first.
+        id_observers: Called with the id of each request that is forwarded.
     """
 
     def __init__(self) -> None:
         self.pending: dict[RoutedRequest, PendingRequest] = {}
         self.open_ids: dict[str, int] = {}
         self.left_ids: dict[str, int] = {}
-        self.predecessor_ids: dict[str, int] = {}
+        self.other_ids: dict[str, int] = {}
+        self.id_observers: list[Callable[[str], None]] = []
 
     def add(self, routed_request: RoutedRequest, pending: PendingRequest) -> None:
         """Adds a request and reserves its id."""
         self.pending[routed_request] = pending
         self.open_ids[pending.request_id] = pending.client
+        for tell in self.id_observers:
+            tell(pending.request_id)
 
     def is_id_in_use(self, now_us: int, request_id: str) -> bool:
         """Returns whether a request with this id waits for its response, or may run although nobody waits."""
         return (
             request_id in self.open_ids
             or self.left_ids.get(request_id, 0) > now_us
-            or self.predecessor_ids.get(request_id, 0) > now_us
+            or self.other_ids.get(request_id, 0) > now_us
         )
 
     def keep_left_id(self, now_us: int, routed_request: RoutedRequest, until_us: int) -> None:
         """Keeps the id of a request whose client has left, if an attempt may have run or may yet run."""
         if not (routed_request.in_flight or routed_request.fixed_endpoint):
             return
-        request_id = self.pending[routed_request].request_id
-        self.left_ids.pop(request_id, None)
-        self.left_ids[request_id] = until_us
-        oldest = next(iter(self.left_ids))
-        if len(self.left_ids) > MAX_LEFT_IDS or self.left_ids[oldest] <= now_us:
-            del self.left_ids[oldest]
+        _keep(self.left_ids, now_us, self.pending[routed_request].request_id, until_us)
 
     def release_id(self, routed_request: RoutedRequest) -> None:
         """Makes the request's id available to other requests: it was answered, or its client has left."""
@@ -141,10 +140,19 @@
         del self.pending[routed_request]
         return [ReleaseBody(pending.request.body)]
 
-    def add_predecessor_ids(self, request_ids: Iterable[object], until_us: int) -> None:
-        """Reserves the ids that are in use at the predecessor process, until `until_us` at most."""
-        self.predecessor_ids = {str(request_id): until_us for request_id in request_ids}
+    def taken_ids(self) -> list[str]:
+        """Returns the ids that no request may use at the successor process either."""
+        return [*self.open_ids, *self.left_ids, *self.other_ids]
 
-    def drop_predecessor_ids(self) -> None:
-        """Releases the ids in use at the predecessor process, which has exited."""
-        self.predecessor_ids = {}
+    def reserve_other_id(self, now_us: int, request_id: str, until_us: int) -> None:
+        """Reserves an id that the other process of an upgrade has taken."""
+        _keep(self.other_ids, now_us, request_id, until_us)
+
+
+def _keep(ids: dict[str, int], now_us: int, request_id: str, until_us: int) -> None:
+    """Adds an id to those that are kept for a while; drops the oldest if it is due or there are too many."""
+    ids.pop(request_id, None)
+    ids[request_id] = until_us
+    oldest = next(iter(ids))
+    if len(ids) > MAX_KEPT_IDS or ids[oldest] <= now_us:
+        del ids[oldest]
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -378,9 +378,12 @@
     def on_predecessor_exited(self, now_us: int, clients_held: int, connections_held: int) -> list[Command]:
         """Handles the exit of the predecessor process, which frees the connections that it held."""
         self.limits.release_reserved(clients_held, connections_held)
-        self.requests.drop_predecessor_ids()
         return self._complete(now_us, [])
 
+    def on_id_taken_elsewhere(self, now_us: int, request_id: str) -> None:
+        """Handles a request that the other process of an upgrade has forwarded, with this id."""
+        self.handover.reserve_id(now_us, request_id)
+
     def hand_over(self, now_us: int) -> tuple[dict[str, Any], list[Command]]:
         """Hands over to the successor process; returns the hand-over state and the commands.
 
--- a/tests/faults/test_client_left.py
+++ b/tests/faults/test_client_left.py
@@ -5,11 +5,12 @@
 import socket
 import time
 from contextlib import suppress
+from pathlib import Path
 
 import pytest
 
 from tests.faults.conftest import StartEndpoint, StartSidecar
-from tests.faults.support import EndpointPeer, Sidecar, read_answer
+from tests.faults.support import PATIENCE_S, EndpointPeer, Sidecar, read_answer
 from tests.support.http_messages import request_bytes, response_bytes
 
 WORK_S = 0.4
@@ -102,3 +103,42 @@
         sock.settimeout(0.05)
         with suppress(TimeoutError):
             sock.recv(65536)
+
+
+@pytest.mark.parametrize("is_first_at_successor", [False, True], ids=["predecessor-first", "successor-first"])
+@pytest.mark.parametrize("has_left", [False, True], ids=["client-waits", "client-has-left"])
+def test_id_does_not_run_again_at_the_other_process_of_an_upgrade(
+    start_endpoint: StartEndpoint,
+    start_sidecar: StartSidecar,
+    tmp_path: Path,
+    is_first_at_successor: bool,
+    has_left: bool,
+) -> None:
+    """Guards against ids that each of two processes knows for itself, once one has handed over."""
+    endpoint = start_endpoint("s0", work)
+    predecessor = start_sidecar(endpoint, handover_folder=tmp_path)
+    kept = predecessor.connect()
+    kept.sendall(request_bytes("write"))
+    assert read_answer(kept, time.monotonic()).status == 200
+    other = predecessor.connect()
+    other.sendall(request_bytes("write"))
+    assert read_answer(other, time.monotonic()).status == 200
+    successor = start_sidecar(endpoint, handover_folder=tmp_path, address=predecessor.address)
+    until_s = time.monotonic() + PATIENCE_S
+    while not predecessor.events("handed_over"):
+        assert time.monotonic() < until_s
+        time.sleep(0.02)
+    fresh = successor.connect()
+    first, second = (fresh, kept) if is_first_at_successor else (kept, fresh)
+    request = request_bytes("write", Idempotency_Key="", Req_Id="again")
+    first.sendall(request)
+    time.sleep(WORK_S / 4)
+    if has_left:
+        first.close()
+        time.sleep(WORK_S / 4)
+    second.sendall(request)
+    assert read_answer(second, time.monotonic()).status in (400, 503)
+    time.sleep(WORK_S)
+    assert endpoint.arrivals_of("again") == 1
+    for sock in (kept, other, fresh):
+        sock.close()
--- a/tests/handover/test_takeover.py
+++ b/tests/handover/test_takeover.py
@@ -154,7 +154,9 @@
     successor.send_request(7, now=SECOND)
     assert [write.response.status for write in successor.take_commands(commands.SendResponse)] == [400]
     successor.state_machine.on_predecessor_exited(SECOND, 0, 0)
-    successor.send_request(7, now=SECOND)
+    successor.send_request(7, now=SECOND)  # it may have run, also if the predecessor was killed
+    assert [write.response.status for write in successor.take_commands(commands.SendResponse)] == [400]
+    successor.send_request(7, now=2 * SECOND + KEPT_ID_DEADLINES * 3 * SECOND)
     assert successor.take_attempt()
 
 
--- a/tests/proxy/test_intake.py
+++ b/tests/proxy/test_intake.py
@@ -6,7 +6,7 @@
 
 from cressrail.policy.outcome import Outcome
 from cressrail.proxy import commands
-from cressrail.proxy.requests import LEFT_ID_DEADLINES
+from cressrail.proxy.requests import KEPT_ID_DEADLINES
 from tests.proxy.support import ProxyDriver, list_update
 from tests.support.configuration import SECOND
 
@@ -67,7 +67,7 @@
     assert not driver.state_machine.requests.open_ids
     driver.send_request(2, req_id="same")
     assert take_statuses(driver) == [(2, 400)]
-    driver.send_request(3, req_id="same", now=LEFT_ID_DEADLINES * 3 * SECOND + 1)
+    driver.send_request(3, req_id="same", now=KEPT_ID_DEADLINES * 3 * SECOND + 1)
     assert driver.take_attempt()
 
 
