--- a/cressrail/network/memory_budget.py
+++ b/cressrail/network/memory_budget.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import resource
-from pathlib import Path
 
 from cressrail.http1.headers import MAX_HEADER_FIELDS
 
@@ -13,13 +12,14 @@
 HEADER_FIELD_BYTES = 256  # a parsed field with its name, value and look-up entry, beside its text
 SPARE_BYTES = 3 << 20  # log lines that wait, endpoint lists that arrive, fragmentation
 DEFAULT_RESIDENT_BYTES = 36 << 20  # of a process that has just started, if the system does not tell
-MEMORY_FILE = Path("/proc/self/statm")  # proc(5): sizes in pages, the resident size second
+MEMORY_FILE = "/proc/self/statm"  # proc(5): sizes in pages, the resident size second
 
 
 def resident_bytes() -> int:
     """Returns how much memory the process holds."""
     try:
-        return int(MEMORY_FILE.read_text().split()[1]) * resource.getpagesize()
+        with open(MEMORY_FILE) as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
     except (OSError, ValueError, IndexError):
         return DEFAULT_RESIDENT_BYTES
 
--- a/tests/faults/flood.py
+++ b/tests/faults/flood.py
@@ -25,6 +25,7 @@
     "chunk lines": lambda _: "1\r\nx\r\n",
     "unsound": lambda number: f"GET /api x{number}\r\n\r\n",
 }
+FORWARDED_KIND = "new owners"
 FIRST_BYTES = {"chunk lines": b"POST /api HTTP/1.1\r\nreq-kind: read\r\ntransfer-encoding: chunked\r\n\r\n"}
 
 
--- a/tests/faults/support.py
+++ b/tests/faults/support.py
@@ -21,6 +21,7 @@
 PATIENCE_S = 20.0
 LATE_S = 0.55  # how long after its deadline an answer is not lost yet: the rule's figure on sockets
 SMALL_BUFFER_BYTES = 4096
+MAX_ANSWER_BYTES = 32 << 20
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -231,6 +232,8 @@
     received = b""
     with suppress(OSError):
         while not _is_whole(received):
+            if time.monotonic() > sent_s + limit_s or len(received) > MAX_ANSWER_BYTES:
+                break
             sock.settimeout(max(0.001, sent_s + limit_s - time.monotonic()))
             data = sock.recv(65536)
             if not data:
--- a/tests/handover/test_takeover.py
+++ b/tests/handover/test_takeover.py
@@ -21,6 +21,7 @@
 from cressrail.network.handover_connection import MAX_PATH_BYTES, rendezvous_path
 from cressrail.policy.outcome import Outcome
 from cressrail.proxy import admin, commands
+from cressrail.proxy.requests import KEPT_ID_DEADLINES
 from tests.policy.support import send_successes
 from tests.proxy.support import ProxyDriver, admin_status, list_update
 from tests.support.configuration import SECOND, endpoint_entry
