--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -110,8 +110,9 @@
         command, request = self.command, self.request
         peer_timeout_us = self.dispatcher.peer_timeout_us
         host = f"[{command.host}]" if ":" in command.host else command.host
-        # The deadline of an upload starts with its last byte; until then only the peer time-out applies.
         remaining_us = min(command.timeout_at_us - now_us, peer_timeout_us)
+        if request.is_streaming:  # its deadline starts with its last byte
+            remaining_us = min(remaining_us, self.state_machine.time_limit_us(command.attempt))
         head = memoryview(request.encode_head(f"{host}:{command.port}", remaining_us))
         body = request.body.views()
         if request.is_chunked:
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -280,6 +280,10 @@
         """Returns when an attempt times out, given that its request has arrived completely."""
         return self.attempts.in_flight[attempt].routed_request.deadline_us
 
+    def time_limit_us(self, attempt: int) -> int:
+        """Returns the time limit of an attempt's request, which starts when the client has sent all of it."""
+        return self.requests.pending[self.attempts.in_flight[attempt].routed_request].time_limit_us
+
     def waiting_client(self, attempt: int) -> int:
         """Returns the client that waits for the answer to an attempt's request; 0 if none does any more."""
         return self.forwarder.waiting_client(attempt)
--- a/tests/faults/test_stalled_upload.py
+++ b/tests/faults/test_stalled_upload.py
@@ -18,8 +18,10 @@
     EndpointPeer,
     Sidecar,
     answer_all,
+    header_of,
     read_answer,
 )
+from tests.support.configuration import SECOND
 from tests.support.http_messages import CHUNKED_HEADER, chunk_bytes, request_bytes, response_bytes
 
 DEADLINE_S = 0.5
@@ -123,3 +125,19 @@
         sent_s = time.monotonic()
         assert sent_s - started_s > 2
         assert read_answer(sock, sent_s).status == 200
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("size", [10, 400_000])
+def test_endpoint_is_told_no_more_time_than_the_client_has(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, framing: str, size: int
+) -> None:
+    """Guards against telling the endpoint of a large request the longest deadline of all classes."""
+    told: list[int] = []
+
+    def script(peer: EndpointPeer) -> None:
+        told.append(int(header_of(peer.read_head(), "req-deadline").rstrip("u")))
+
+    sidecar = start_sidecar(start_endpoint("s0", script))
+    upload(sidecar, upload_bytes("write", size, framing))
+    assert told[0] <= (DEADLINE_S + 0.15) * SECOND
