Cost: one look at a client before an attempt, and less for each read and response

One poll call tells whether the client is there, has closed or may be hidden; the turn's reads are counted in place; the time for which a response of unknown length is kept counts from its head.

--- a/cressrail/buffers/pool.py
+++ b/cressrail/buffers/pool.py
@@ -128,6 +128,10 @@
         """Records that `count` bytes were received into the memory returned by `free_space`."""
         self.end += count
 
+    def is_empty(self) -> bool:
+        """Returns whether there are no unconsumed bytes, given that some were added since it was borrowed."""
+        return self.buffer is None
+
     def unread(self) -> memoryview:
         """Returns a view of the unconsumed bytes, valid until the next call of another method."""
         if self.buffer is None:
--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -67,7 +67,7 @@
         self.body = StreamingBody(dispatcher.pool)
         self.reader = ResponseReader(self.body, MAX_BODY_BYTES, command.request.method == b"HEAD")
         self.is_streaming = False
-        self._kept_until_us = NEVER  # once the response has begun
+        self._kept_until_us = NEVER  # set for a response of unknown length, when its head has been read
 
     def run(self, stream: SocketStream, now_us: int) -> AttemptEnd:
         """Sends the request and reads the response.
@@ -251,8 +251,6 @@
         elif count < 0:
             return self._wait_for_rest(stream, until_us)
         else:
-            if self._kept_until_us == NEVER:
-                self._kept_until_us = self.dispatcher.now() + KEPT_RESPONSE_US
             stream.feed_to(self.reader.feed)
             if self.reader.has_head and not self.is_streaming:
                 return self._is_rest_wanted()
@@ -266,20 +264,14 @@
                 READABLE, self.dispatcher.now() + self.dispatcher.peer_timeout_us, wakes_on_message=True
             )
             return True
-        kept_until_us = self._kept_until_us if self._has_unknown_length() else NEVER
         try:
-            stream.wait(READABLE, min(until_us, kept_until_us), wakes_on_message=True)
+            stream.wait(READABLE, min(until_us, self._kept_until_us), wakes_on_message=True)
         except StreamTimeoutError:
-            if kept_until_us >= until_us:
+            if self._kept_until_us >= until_us:
                 raise
             return self._start_streaming()
         return True
 
-    def _has_unknown_length(self) -> bool:
-        """Returns whether only the end of a successful response will tell its length."""
-        reader = self.reader
-        return reader.has_head and reader.status == OK and reader.content_length is None
-
     def _check_limits(self, until_us: int) -> None:
         """Checks the limits of the wait for a response, where more keeps coming so that there is no wait.
 
@@ -298,10 +290,13 @@
         Starts streaming to the client if the response is too large to be kept.
         """
         reader = self.reader
-        is_short = self.body.pipe is None and (reader.content_length or 0) <= KEPT_BODY_BYTES
-        is_kept = reader.is_complete or not self._has_unknown_length()
-        if is_short and (is_kept or self.dispatcher.now() < self._kept_until_us):
-            return True
+        if self.body.pipe is None and (reader.content_length or 0) <= KEPT_BODY_BYTES:
+            if reader.content_length is not None or reader.is_complete or reader.status != OK:
+                return True
+            if self._kept_until_us == NEVER:
+                self._kept_until_us = self.dispatcher.now() + KEPT_RESPONSE_US
+            if self.dispatcher.now() < self._kept_until_us:
+                return True
         return reader.status == OK and self._start_streaming()  # the body of a failed attempt is not used
 
     def _start_streaming(self) -> bool:
--- a/cressrail/network/dispatcher.py
+++ b/cressrail/network/dispatcher.py
@@ -13,7 +13,7 @@
 from cressrail.buffers.pool import BufferPool
 from cressrail.event_loop.scheduler import Scheduler, Task
 from cressrail.logs.log_writer import LogWriter
-from cressrail.network.socket_stream import SocketStream
+from cressrail.network.socket_stream import PeerPresence, SocketStream
 from cressrail.proxy import commands
 from cressrail.proxy.commands import Command
 from cressrail.proxy.state_machine import StateMachine
@@ -101,15 +101,10 @@
         for command in pending:
             self.handlers[type(command)](command)
 
-    def has_client_disconnected(self, client: int) -> bool:
-        """Returns whether a client has closed its connection, even if the task has not noticed it yet."""
+    def client_presence(self, client: int) -> PeerPresence:
+        """Returns whether a client is still there, even if its task has not noticed yet that it has left."""
         stream = self.client_streams.get(client)
-        return stream is not None and stream.has_peer_closed()
-
-    def may_client_hide_close(self, client: int) -> bool:
-        """Returns whether a client may have closed its connection unseen, behind much unread input."""
-        stream = self.client_streams.get(client)
-        return stream is not None and stream.may_hide_close()
+        return PeerPresence.THERE if stream is None else stream.peer_presence()
 
     def client_connection_closed(self, number: int) -> None:
         """Removes a client connection; its task calls this last."""
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -8,6 +8,7 @@
 from cressrail.network.socket_stream import (
     DESCRIPTORS_EXHAUSTED,
     IdleState,
+    PeerPresence,
     SocketStream,
     StreamInterruptedError,
     StreamTimeoutError,
@@ -154,9 +155,10 @@
         """
         dispatcher, state_machine = self.dispatcher, self.dispatcher.state_machine
         client = state_machine.waiting_client(command.attempt)
-        if client and dispatcher.has_client_disconnected(client):
+        presence = dispatcher.client_presence(client) if client else PeerPresence.THERE
+        if presence is PeerPresence.CLOSED:
             dispatcher.dispatch(state_machine.on_client_disconnected(now_us, client))
-        elif client and not command.request.is_streaming and dispatcher.may_client_hide_close(client):
+        elif presence is PeerPresence.UNKNOWN and not command.request.is_streaming:
             return AttemptEnd(Outcome.NOT_SENT, "much unread input of the client may hide its close", True)
         unsent = state_machine.check_before_send(now_us, command.attempt)
         if unsent is not None:
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -11,6 +11,7 @@
 
 from cressrail.buffers.pool import BufferPool, BufferPoolExhaustedError, ReceiveBuffer
 from cressrail.event_loop.scheduler import (
+    MAX_READS_PER_TURN,
     MESSAGE,
     NEVER,
     PEER_CLOSED,
@@ -39,6 +40,14 @@
     ENDED = "ended"  # closed by the peer, or carrying unsolicited bytes
 
 
+class PeerPresence(Enum):
+    """What is known of a peer before something is done for it."""
+
+    THERE = "there"
+    CLOSED = "closed"  # it has closed or reset the connection, even if input is still unread
+    UNKNOWN = "unknown"  # so much input is unread that its close may wait behind it
+
+
 class StreamTimeoutError(Exception):
     """An operation did not complete before its time limit."""
 
@@ -194,7 +203,11 @@
             BufferPoolExhaustedError: There is no buffer to receive into.
             OSError: The connection was reset.
         """
-        self.scheduler.count_read()
+        task = self.scheduler.current
+        if task is not None:
+            if task.reads >= MAX_READS_PER_TURN:
+                self.scheduler.yield_turn()
+            task.reads += 1
         try:
             count = self.sock.recv_into(self.input_buffer.free_space())
         except BlockingIOError:
@@ -226,7 +239,7 @@
         """
         while used := parse(self.input_buffer.unread()):
             self.input_buffer.consume(used)
-            if not self.input_buffer.unread():
+            if self.input_buffer.is_empty():
                 return
             self.scheduler.yield_turn()
 
@@ -234,9 +247,14 @@
         """Returns whether the peer has closed or reset the connection, even if input is still unread."""
         return bool(self._pending_events() & ~READABLE)
 
-    def may_hide_close(self) -> bool:
-        """Returns whether the peer may have closed unseen by `has_peer_closed`, behind unread input."""
-        return self._pending_events() == READABLE and may_hide_close(self.sock)
+    def peer_presence(self) -> PeerPresence:
+        """Returns whether the peer is there, has closed, or may have closed unseen behind unread input."""
+        events = self._pending_events()
+        if not events:
+            return PeerPresence.THERE
+        if events != READABLE:
+            return PeerPresence.CLOSED
+        return PeerPresence.UNKNOWN if may_hide_close(self.sock) else PeerPresence.THERE
 
     def has_input(self) -> bool:
         """Returns whether there is something to read: data, or the end of the stream."""
--- a/cressrail/proxy/timers.py
+++ b/cressrail/proxy/timers.py
@@ -52,7 +52,9 @@
     def next_us(self, now_us: int) -> int:
         """Returns the time at which work is due next."""
         lifecycle = self.lifecycle
-        next_us = min(self.load_balancer.wake_us, self.forwarder.deadlines.next_us)
+        next_us = self.load_balancer.wake_us
+        deadlines_us = self.forwarder.deadlines.next_us
+        next_us = min(deadlines_us, next_us)
         has_to_ask = lifecycle.is_taking_over and not lifecycle.has_asked_predecessor
         watch = self.endpoint_watch
         if has_to_ask or not (watch.has_list or watch.is_list_wait_over(now_us)):
