--- a/cressrail/network/attempt_exchange.py
+++ b/cressrail/network/attempt_exchange.py
@@ -67,6 +67,7 @@
         self.body = StreamingBody(dispatcher.pool)
         self.reader = ResponseReader(self.body, MAX_BODY_BYTES, command.request.method == b"HEAD")
         self.is_streaming = False
+        self._is_upload = command.request.is_streaming
         self._kept_until_us = NEVER  # set for a response of unknown length, when its head has been read
 
     def run(self, stream: SocketStream, now_us: int) -> AttemptEnd:
@@ -83,7 +84,7 @@
         if end is not None:
             return end
         until_us = self.command.timeout_at_us
-        if self.request.is_streaming:
+        if self._is_upload:
             end = self._upload(stream)
             if end is not None:
                 return end
@@ -111,7 +112,7 @@
         peer_timeout_us = self.dispatcher.peer_timeout_us
         host = f"[{command.host}]" if ":" in command.host else command.host
         remaining_us = min(command.timeout_at_us - now_us, peer_timeout_us)
-        if request.is_streaming:  # its deadline starts with its last byte
+        if self._is_upload:  # its deadline starts with its last byte
             remaining_us = min(remaining_us, self.state_machine.time_limit_us(command.attempt))
         head = memoryview(request.encode_head(f"{host}:{command.port}", remaining_us))
         body = request.body.views()
