--- a/cressrail/network/handover_client.py
+++ b/cressrail/network/handover_client.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import time
 from contextlib import suppress
 from typing import Any, NamedTuple
 
@@ -93,8 +94,16 @@
 
 
 def _receive_first_frame(sock: socket.socket, frames: FrameReader, descriptors: list[int]) -> Frame:
-    """Returns the first frame and appends the descriptors that were sent with it to the list."""
+    """Returns the first frame and appends the descriptors that were sent with it to the list.
+
+    Raises:
+        HandoverError: The predecessor sent something else, or not the whole frame in time.
+        OSError: The connection failed, or nothing came in time.
+    """
+    until_s = time.monotonic() + FIRST_ANSWER_TIMEOUT_S
     while (frame := frames.next_frame()) is None:
+        if time.monotonic() >= until_s:  # each receive has a time limit of its own
+            raise HandoverError("predecessor did not send its first frame before the time limit")
         data, received, _, _ = socket.recv_fds(sock, READ_BYTES, 1)
         descriptors += received
         if not data:
