Cost: no search for silent clients where none is new or amid a request

At each event the times of clients that owe a request were searched with three calls of min, mostly over nothing.

--- a/cressrail/proxy/clients.py
+++ b/cressrail/proxy/clients.py
@@ -175,6 +175,8 @@
         Returns:
             The time in microseconds; `NEVER_US` if no client owes a request.
         """
+        if not (self.unstarted or self.receiving):  # as at most events
+            return NEVER_US
         return min(
             min(self.unstarted.values(), default=NEVER_US), min(self.receiving.values(), default=NEVER_US)
         )
