Failover: an elected leader tells each instance directly that it has won

In its logs a leader elected by four of six had lost its lease 2.2 s later without a decision.

Cause: a vote extends the lease for 0.75 s. The voters report, and so renew it, only once they know who has won, and that was told by a heartbeat that travels on whatever datagrams are sent anyway. Where as many instances are dead as a majority allows, one late voter is enough.

Change: the first heartbeat of a term also goes to each live instance directly. Later ones travel as before.

--- a/cressrail/failover/leader.py
+++ b/cressrail/failover/leader.py
@@ -80,7 +80,10 @@
             self._planner.take_over(self._parts.decisions.decision.zones)
         fleet_size = self._parts.local.fleet.known_size
         self._parts.outbox.log(log_events.LEADER_ELECTED, term=term, votes=votes, fleet_size=fleet_size)
-        self._send_heartbeat(now_us)
+        heartbeat = self._send_heartbeat(now_us)
+        # A broadcast waits for datagrams to travel on; the votes may have expired before it has arrived.
+        for instance in sorted(self._parts.local.fleet.live_instances):
+            self._parts.outbox.send(now_us, instance, heartbeat)
 
     def step_down(self, now_us: int, observed_epoch: Epoch) -> None:
         """Steps down, because the majority is lost or there is a later term."""
@@ -146,12 +149,13 @@
         for number in [number for number, sent_us in sent.items() if sent_us < oldest_us]:
             del sent[number]
 
-    def _send_heartbeat(self, now_us: int) -> None:
+    def _send_heartbeat(self, now_us: int) -> Heartbeat:
         leadership = self._parts.leadership
         self._heartbeat_us = now_us
         leadership.set_heartbeat_sequence(leadership.heartbeat_sequence + 1)
         heartbeat = Heartbeat(leadership.epoch, leadership.own_id, leadership.heartbeat_sequence)
         self._parts.outbox.broadcast(now_us, HEARTBEAT_TOPIC, heartbeat)
+        return heartbeat
 
     def _decide(self, now_us: int) -> None:
         window_us = EVIDENCE_WINDOW_PERIODS * self._parts.settings.report_period_us
--- a/tests/failover/test_state_machine.py
+++ b/tests/failover/test_state_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from cressrail.failover.admin_view import zones_view
+from cressrail.failover.commands import Broadcast, Command
 from cressrail.failover.local_view import Fleet
 from cressrail.failover.messages import Epoch
 from cressrail.failover.settings import FailoverSettings
@@ -58,6 +59,24 @@
     assert 0 < freshness[len(freshness) // 2] < 1
 
 
+class LateGossipNetwork(InstanceNetwork):
+    """A network in which what is not urgent does not travel: no other datagrams carry it."""
+
+    def carry_out(self, instance: int, commands: list[Command]) -> None:
+        """Sends all but the broadcasts that are not urgent."""
+        sent = [command for command in commands if not isinstance(command, Broadcast) or command.is_urgent]
+        super().carry_out(instance, sent)
+
+
+def test_elected_leader_keeps_its_term_while_its_heartbeats_are_late() -> None:
+    """Guards against votes that expire before the voters know who has won."""
+    network = LateGossipNetwork(5, 3)
+    for _ in range(600):
+        network.step(0.0)
+    assert {machine.held_epoch.term for machine in network.instances.values()} == {1}
+    assert sum(machine.is_leader for machine in network.instances.values()) == 1
+
+
 def test_drain_request_reaches_all_instances_takes_effect_and_expires() -> None:
     network = InstanceNetwork(3, 5)
     for _ in range(500):
