Ids of clients that left without reading their answer stay in use

What callers saw: a non-idempotent request ran twice when it came again with its id after its client had left just as the answer came, or without reading an answer that had been written (three of three new tests).

Cause: PendingRequests released the id as soon as the answer was decided or its last byte came from the endpoint. Whether the client took it was not asked.

Change: a client's connection remembers the id of its last answered request that may have run. When the connection ends and the client has not surely taken what was written (an error, a reset, or bytes that it has not acknowledged: SO_ERROR and SIOCOUTQ), the id is kept as that of any client that left. Both are asked once, when a connection ends.

--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -49,9 +49,11 @@
     def run(self) -> None:
         """Executes commands of the state machine until the connection ends."""
         messages = self.dispatcher.scheduler.current_task().messages
+        has_taken_answers = False
         try:
             while self._carry_out(self._next_command(messages)):
                 pass
+            has_taken_answers = not messages and self.stream.has_delivered_all()
         except (OSError, StreamTimeoutError, BufferPoolExhaustedError):
             return
         finally:
@@ -64,7 +66,7 @@
                 if isinstance(command, SendResponse) and command.response.body is not None:
                     command.response.body.release()
             messages.clear()
-            self.dispatcher.client_connection_closed(self.number)
+            self.dispatcher.client_connection_closed(self.number, has_taken_answers)
 
     def _next_command(self, messages: Any) -> Any:
         """Returns the next command; None if the client disconnects first."""
--- a/cressrail/network/dispatcher.py
+++ b/cressrail/network/dispatcher.py
@@ -106,10 +106,10 @@
         stream = self.client_streams.get(client)
         return PeerPresence.THERE if stream is None else stream.peer_presence()
 
-    def client_connection_closed(self, number: int) -> None:
+    def client_connection_closed(self, number: int, has_taken_answers: bool) -> None:
         """Removes a client connection; its task calls this last."""
         del self.clients[number], self.client_streams[number]
-        self.dispatch(self.state_machine.on_client_closed(self.now(), number))
+        self.dispatch(self.state_machine.on_client_closed(self.now(), number, has_taken_answers))
 
     def endpoint_connection_closed(self, number: int) -> None:
         """Removes an endpoint connection; its task calls this last."""
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -251,6 +251,14 @@
             return PeerPresence.CLOSED
         return PeerPresence.UNKNOWN if may_hide_close(self.sock) else PeerPresence.THERE
 
+    def has_delivered_all(self) -> bool:
+        """Returns whether the peer has taken all that was written, as far as the kernel can tell.
+
+        A peer that closes without reading it resets the connection.
+        """
+        is_reset = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return not is_reset and not undelivered_bytes(self.sock)
+
     def has_input(self) -> bool:
         """Returns whether there is something to read: data, or the end of the stream."""
         return bool(self._pending_events())
--- a/cressrail/proxy/clients.py
+++ b/cressrail/proxy/clients.py
@@ -37,6 +37,7 @@
         is_over_limit: Whether the client connected beyond the connection limit; its requests are answered
             with 503 instead of being forwarded.
         routed_request: The request whose response the client waits for, if any.
+        answered_id: Id of the last request that was answered here and may have run; empty if there is none.
     """
 
     def __init__(self) -> None:
@@ -44,6 +45,7 @@
         self.is_replaced = False
         self.is_over_limit = False
         self.routed_request: RoutedRequest | None = None
+        self.answered_id = ""
 
 
 class Clients:
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -218,6 +218,9 @@
         """
         pending = self.requests.pending[routed_request]
         self.clients.clear_request(pending.client)
+        self.clients.open[pending.client].answered_id = (
+            "" if status == REJECTED_STATUS else pending.request_id
+        )
         self.counters.on_final_answer(pending.class_name, status)
         self.requests.release_id(routed_request)
 
@@ -292,15 +295,19 @@
         if routed_request is None:
             return []
         self.requests.release_id(routed_request)
-        if not routed_request.is_uploading:
-            until_us = now_us + KEPT_ID_DEADLINES * self.lifecycle.max_deadline_us
-            self.requests.keep_left_id(now_us, routed_request, until_us)
+        if not routed_request.is_uploading and self.requests.may_run(routed_request):
+            self.keep_id(now_us, self.requests.pending[routed_request].request_id)
         commands = self._apply_decisions(now_us, routed_request.on_client_disconnected())
         streaming = self.requests.pending[routed_request].streaming_attempt
         if streaming and self.load_balancer.may_cancel:
             commands += self.attempts.cancel(streaming)
         return commands + self.requests.release(routed_request)
 
+    def keep_id(self, now_us: int, request_id: str) -> None:
+        """Keeps the id of a request in use that may have run, and whose client does not know that."""
+        until_us = now_us + KEPT_ID_DEADLINES * self.lifecycle.max_deadline_us
+        self.requests.keep_left_id(now_us, request_id, until_us)
+
     def waiting_client(self, attempt: int) -> int:
         """Returns the client that waits for the answer to an attempt's request; 0 if none does any more."""
         routed_request = self.attempts.in_flight[attempt].routed_request
--- a/cressrail/proxy/requests.py
+++ b/cressrail/proxy/requests.py
@@ -83,8 +83,8 @@
     Attributes:
         pending: Requests that are unanswered or have an attempt in flight.
         open_ids: Ids of the requests that wait for a response, with the client of each.
-        left_ids: Ids of requests that may have run although their client left before the response, each with
-            the time in us until which no other request may use it; the oldest first.
+        left_ids: Ids of requests that may have run although their client left before it had the whole
+            response, each with the time in us until which no other request may use it; the oldest first.
         other_ids: Ids of requests that the other process of an upgrade has taken, each with the time in us
             until which no request may use it here; the oldest first.
         id_observers: Called with the id of each request that is forwarded.
@@ -112,11 +112,14 @@
             or self.other_ids.get(request_id, 0) > now_us
         )
 
-    def keep_left_id(self, now_us: int, routed_request: RoutedRequest, until_us: int) -> None:
-        """Keeps the id of a request whose client has left, if an attempt may have run or may yet run."""
-        pending = self.pending[routed_request]
-        if routed_request.in_flight or routed_request.fixed_endpoint or pending.streaming_attempt:
-            _keep(self.left_ids, now_us, pending.request_id, until_us)
+    def may_run(self, routed_request: RoutedRequest) -> bool:
+        """Returns whether an attempt of a pending request may have run or may yet run."""
+        is_streaming = self.pending[routed_request].streaming_attempt
+        return bool(routed_request.in_flight or routed_request.fixed_endpoint or is_streaming)
+
+    def keep_left_id(self, now_us: int, request_id: str, until_us: int) -> None:
+        """Keeps the id of a request whose client has left without a whole answer."""
+        _keep(self.left_ids, now_us, request_id, until_us)
 
     def release_id(self, routed_request: RoutedRequest) -> None:
         """Makes the request's id available to other requests: it was answered, or its client has left."""
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -255,10 +255,18 @@
         self.clients.mark_idle(client)
         return self._complete(now_us, [commands.ReadRequest(client)])
 
-    def on_client_closed(self, now_us: int, client: int) -> list[Command]:
-        """Handles the end of a client's connection, whichever side closed it."""
-        routed_request = self.clients.remove(client).routed_request
-        return self._complete(now_us, self.forwarder.drop_request(now_us, routed_request))
+    def on_client_closed(self, now_us: int, client: int, has_taken_answers: bool = True) -> list[Command]:
+        """Handles the end of a client's connection, whichever side closed it.
+
+        Args:
+            now_us: The current time.
+            client: The client's id.
+            has_taken_answers: Whether the client surely has all that was written to it.
+        """
+        removed = self.clients.remove(client)
+        if removed.answered_id and not has_taken_answers:
+            self.forwarder.keep_id(now_us, removed.answered_id)
+        return self._complete(now_us, self.forwarder.drop_request(now_us, removed.routed_request))
 
     def on_client_disconnected(self, now_us: int, client: int) -> list[Command]:
         """Handles a client that has closed its connection before its task has noticed."""
--- a/tests/faults/test_client_left.py
+++ b/tests/faults/test_client_left.py
@@ -14,6 +14,7 @@
 from tests.support.http_messages import request_bytes, response_bytes
 
 WORK_S = 0.4
+SHORT_WORK_S = 0.02
 AFTER_CLOSE_S = 0.1  # an attempt that begins later than this after the close is a break
 PIPELINED = 1500  # more than the buffers of the connection hold
 
@@ -26,9 +27,9 @@
 
 
 def work_shortly(peer: EndpointPeer) -> None:
-    """Answers each request after 20 ms."""
+    """Answers each request after a short time."""
     while (request_id := peer.read_request()) is not None:
-        time.sleep(0.02)
+        time.sleep(SHORT_WORK_S)
         peer.sock.sendall(response_bytes(request_id.encode()))
 
 
@@ -75,6 +76,46 @@
     assert endpoint.arrivals_of("again") == 1
 
 
+@pytest.mark.parametrize("size", [10, 4_000_000])
+def test_id_of_a_client_that_left_without_its_answer_does_not_run_again(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, size: int
+) -> None:
+    """Guards against an id that is free once its answer is written, whether or not its client has read it."""
+
+    def answer(peer: EndpointPeer) -> None:
+        while peer.read_request() is not None:
+            peer.sock.sendall(response_bytes(bytes(size)))
+
+    endpoint = start_endpoint("s0", answer)
+    sidecar = start_sidecar(endpoint)
+    request = request_bytes("write", Idempotency_Key="", Req_Id="again")
+    send_and_leave(sidecar, request)
+    time.sleep(0.1)
+    with sidecar.connect() as sock:
+        sock.sendall(request)
+        assert read_answer(sock, time.monotonic()).status == 400
+    assert endpoint.arrivals_of("again") == 1
+
+
+def test_id_of_a_client_that_leaves_as_its_answer_comes_does_not_run_again(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar
+) -> None:
+    """The close and the answer cross, in either order."""
+    endpoint = start_endpoint("s0", work_shortly)
+    sidecar = start_sidecar(endpoint)
+    requests = [request_bytes("write", Idempotency_Key="", Req_Id=f"again-{number}") for number in range(40)]
+    for number, request in enumerate(requests):
+        with sidecar.connect() as sock:
+            sock.sendall(request)
+            time.sleep(SHORT_WORK_S + (number - 20) / 5000)
+    for request in requests:
+        with sidecar.connect() as sock:
+            sock.sendall(request)
+            read_answer(sock, time.monotonic())
+    runs = [endpoint.arrivals_of(f"again-{number}") for number in range(len(requests))]
+    assert max(runs) == 1, runs
+
+
 def test_id_of_a_client_that_left_before_any_attempt_is_free(
     start_endpoint: StartEndpoint, start_sidecar: StartSidecar
 ) -> None:
