Clients: no work for those that have left, and slow ones yield when places are short

What callers saw, in a flood of eight clients that connect, send one request and leave at once (2 s each kind, one other client that asks): with 70,000 one-byte chunks, no answer in 3 s; with bodies of 60,000 bytes, 503 after 1.31 s (deadline 0.5 s); with eleven smaller kinds the worst answer took 0.15 to 0.60 s.

Cause: a connection whose client has gone was accepted, counted against the limit and read to its end like any other. A request's time limit, and the command to give up its place, were looked at only in waits, and a reception that always finds more to read never waits; where all places were taken by such, others waited in the accept queue.

Change: a connection whose client has left is closed when it is accepted (the poll that was made there anyway tells), and up to 64 of them a round do not count as new clients. A client that leaves amid a turn's end is dropped there. Each turn of a reception looks at its time limit and at messages. Where places are short and nobody is idle or silent, the request that has been arriving for longest, over 1 s, gives up its place.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -228,14 +228,20 @@
             heappush(self.timers, (until_us, self.timer_count, task, task.wait_number))
         return int(self.hub.switch())
 
-    def count_read(self) -> None:
-        """Counts a read of the running task; its turn ends first if it has read often enough."""
+    def count_read(self) -> bool:
+        """Counts a read of the running task; its turn ends first if it has read often enough.
+
+        Returns:
+            Whether others have had their turn meanwhile.
+        """
         task = self.current
         if task is None:
-            return
-        if task.reads >= MAX_READS_PER_TURN:
+            return False
+        has_yielded = task.reads >= MAX_READS_PER_TURN
+        if has_yielded:
             self.yield_turn()
         task.reads += 1
+        return has_yielded
 
     def yield_turn(self) -> None:
         """Lets all other tasks that are or become ready run before the running task goes on."""
--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -41,6 +41,7 @@
         self.dispatcher = dispatcher
         self.number = number
         self.stream = SocketStream(dispatcher.scheduler, dispatcher.pool, sock)
+        self.stream.needs_open_peer = True
         self.upload: RequestUpload | None = None
         self._reception: RequestReception | None = None
         self._awaits_first_request = True
@@ -98,6 +99,8 @@
         # A client that has sent several requests lets others have their turn in between.
         if self.stream.input_buffer.buffer is not None:
             self.dispatcher.scheduler.yield_turn()
+            if self.stream.has_peer_closed():
+                return False
         self._reception = RequestReception(
             self.dispatcher, self.number, self.stream, self._awaits_first_request
         )
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -12,7 +12,8 @@
 from cressrail.network.tcp_information import time_since_last_input_us
 
 BACKLOG = 1024
-MAX_ACCEPTS_PER_ROUND = 16  # then other tasks run
+MAX_NEW_CLIENTS_PER_ROUND = 16  # then other tasks run
+MAX_ACCEPTS_PER_ROUND = 64  # the same, with connections whose clients have already left
 NO_DESCRIPTORS_PAUSE_US = 20_000  # before accepting again after the descriptors ran out
 MAX_CLOSE_US = 500_000  # how long closing waits for free descriptors for clients in the accept queue
 # Errors of a connection that ended while it was queued; later connections in the queue may be fine.
@@ -93,11 +94,13 @@
 
     def _accept_some(self, task: Task) -> None:
         """Accepts connections until none is queued, a command arrives or it is other tasks' turn."""
+        max_clients = len(self.dispatcher.clients) + MAX_NEW_CLIENTS_PER_ROUND
         for _ in range(MAX_ACCEPTS_PER_ROUND):
             if task.messages or not self._accept():
+                return
+            if len(self.dispatcher.clients) >= max_clients:
                 break
-        else:
-            self._leave_queue_waiting()
+        self._leave_queue_waiting()
 
     def _leave_queue_waiting(self) -> None:
         """Records that connections may wait in the accept queue from now on, if not since earlier."""
@@ -115,7 +118,7 @@
                 may_end = self.is_out_of_descriptors or accepted > BACKLOG
                 if may_end and self.dispatcher.now() >= until_us:
                     break
-                if accepted % MAX_ACCEPTS_PER_ROUND == 0:
+                if accepted % MAX_NEW_CLIENTS_PER_ROUND == 0:
                     self.dispatcher.scheduler.yield_turn()
         finally:
             self.sock.close()
@@ -155,13 +158,17 @@
         except OSError:  # the client has already disconnected
             sock.close()
             return
+        events = client.stream.pending_events()
+        if events & ~READABLE:  # it has left, and what it sent is worthless
+            client.stream.close()
+            return
         now_us = dispatcher.now()
         silent_us = time_since_last_input_us(sock)
         if silent_us is None and self.queued_since_us is not None:
             # The first request may have been waiting since then, and the kernel does not tell.
             client.stream.arrived_us = min(client.stream.arrived_us, self.queued_since_us)
         # Registered before its task is spawned, because the end of the task unregisters the client.
-        silent_since_us = now_us if client.stream.has_input() else now_us - (silent_us or 0)
+        silent_since_us = now_us if events else now_us - (silent_us or 0)
         commands = dispatcher.state_machine.on_client_connected(now_us, number, silent_since_us)
         dispatcher.clients[number] = dispatcher.scheduler.spawn(client.run)
         dispatcher.client_streams[number] = client.stream
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -26,7 +26,7 @@
     RECEIVED = auto()  # the complete request was passed to the state machine
     UPLOAD_STARTED = auto()  # the request was passed on while the rest of its body is still to be received
     REFUSED = auto()  # an error response is sent, then the connection closes
-    STALLED = auto()  # the same, but the client has stopped sending, so that no more input is expected
+    STALLED = auto()  # the same, but its place is wanted and the client has stopped sending or takes long
     CLIENT_LEFT = auto()
     CLOSED_WHILE_IDLE = auto()  # the state machine requested it before a request started
 
@@ -58,6 +58,7 @@
         self._receives_at_once = receives_at_once
         self._reader: RequestReader | None = None  # None before the first byte
         self._body: StreamingBody | None = None
+        self._began_us = NEVER
         self._until_us = NEVER
         self._progress_steps = 0  # number of steps that the body has begun; 0 before the head is complete
         self._last_progress_us = 0
@@ -66,13 +67,19 @@
         """Receives until the request is complete, too large to keep, or refused.
 
         Raises:
-            OSError: The connection was reset.
-            StreamTimeoutError: The client did not read the interim response in time.
+            OSError: The connection was reset, or the client has left.
         """
         while True:
-            result = self._parse() if self.stream.input_buffer.unread() else None
-            if result is None:
-                result = self._receive()
+            try:
+                result = self._parse() if self.stream.input_buffer.unread() else None
+                if result is None:
+                    result = self._receive()
+            except BufferPoolExhaustedError:
+                result = self._refuse(SERVICE_UNAVAILABLE_STATUS, NO_BUFFER_REASON)
+            except StreamTimeoutError:
+                result = self._refuse(REQUEST_TIMEOUT_STATUS, "request not completed before the time limit")
+            except StreamInterruptedError:
+                result = self._on_close_requested()
             if result is not None:
                 return result
 
@@ -86,11 +93,9 @@
         """Parses the received bytes; returns None if more are needed."""
         try:
             reader = self._reader or self._start()
-            self.stream.feed_to(reader.feed)
+            self.stream.feed_to(reader.feed, self._check_limits)
         except MalformedMessageError as error:
             return self._refuse(error.status, str(error))
-        except BufferPoolExhaustedError:
-            return self._refuse(SERVICE_UNAVAILABLE_STATUS, NO_BUFFER_REASON)
         if reader.incomplete_request is not None and reader.incomplete_request.is_streaming:
             return self._start_upload(reader, reader.incomplete_request)
         if reader.request is not None:
@@ -108,6 +113,7 @@
         """Starts the reader and the time limit for the request when its first byte has arrived."""
         now_us = self.dispatcher.now()
         self.dispatcher.dispatch(self.state_machine.on_request_started(now_us, self.client))
+        self._began_us = now_us
         self._until_us = now_us + self.dispatcher.peer_timeout_us
         self._body = StreamingBody(self.dispatcher.pool)
         self._reader = RequestReader(self._body)
@@ -127,24 +133,31 @@
 
     def _receive(self) -> ReceptionResult | None:
         """Receives once, or waits; returns None if the reception continues."""
-        try:
-            # The next request arrives a round trip after the response: receiving at once would find nothing.
-            receives = self._receives_at_once or self._reader is not None
-            count = self.stream.receive() if receives else -1
-            self._receives_at_once = True
-            if count == 0:
-                return ReceptionResult.CLIENT_LEFT
-            if count < 0:
-                is_idle = self._reader is None
-                self.stream.wait(READABLE, self._until_us, wakes_on_message=True, is_idle=is_idle)
-        except BufferPoolExhaustedError:
-            return self._refuse(SERVICE_UNAVAILABLE_STATUS, NO_BUFFER_REASON)
-        except StreamTimeoutError:
-            return self._refuse(REQUEST_TIMEOUT_STATUS, "request not completed before the time limit")
-        except StreamInterruptedError:
-            return self._on_close_requested()
+        is_idle = self._reader is None
+        if not is_idle:
+            self._check_limits()
+        # The next request arrives a round trip after the response: receiving at once would find nothing.
+        receives = self._receives_at_once or not is_idle
+        count = self.stream.receive() if receives else -1
+        self._receives_at_once = True
+        if count == 0:
+            return ReceptionResult.CLIENT_LEFT
+        if count < 0:
+            self.stream.wait(READABLE, self._until_us, wakes_on_message=True, is_idle=is_idle)
         return None
 
+    def _check_limits(self) -> None:
+        """Checks the limits of the wait for the rest, where more keeps coming so that there is no wait.
+
+        Raises:
+            StreamInterruptedError: The state machine has asked for the close.
+            StreamTimeoutError: The time limit is over.
+        """
+        if self.dispatcher.scheduler.current_task().messages:
+            raise StreamInterruptedError
+        if self.dispatcher.now() >= self._until_us:
+            raise StreamTimeoutError
+
     def _on_close_requested(self) -> ReceptionResult | None:
         """Handles the command to close an idle connection; returns None if the reception continues."""
         # The state machine posts no other command during the reception of a request.
@@ -155,11 +168,11 @@
                 return ReceptionResult.CLIENT_LEFT
             return ReceptionResult.CLOSED_WHILE_IDLE if count < 0 else None
         now_us = self.dispatcher.now()
-        if self.state_machine.has_client_stalled(now_us, self._last_progress_us):
-            self._refuse(REQUEST_TIMEOUT_STATUS, "client stopped sending in the middle of its request")
+        if self.state_machine.may_close_amid_request(now_us, self._began_us, self._last_progress_us):
+            self._refuse(REQUEST_TIMEOUT_STATUS, "client stopped sending, or took long, amid its request")
             return ReceptionResult.STALLED
         # The reception continues; the state machine may ask for the close again.
-        self.dispatcher.dispatch(self.state_machine.on_request_started(now_us, self.client))
+        self.dispatcher.dispatch(self.state_machine.on_request_started(now_us, self.client, self._began_us))
         return None
 
     def _start_upload(self, reader: RequestReader, request: Request) -> ReceptionResult:
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -64,6 +64,8 @@
         arrived_us: The earliest time at which the most recently received bytes may have arrived, as far as
             the event loop can tell, in microseconds. `input_arrived_us` asks the kernel too.
         created_us: The time at which this object was created, in microseconds.
+        needs_open_peer: Whether input is worthless once the peer has closed. It then ends where others have
+            had their turn, so that no work is done for a peer that has sent much and left.
     """
 
     def __init__(self, scheduler: Scheduler, pool: BufferPool, sock: socket.socket) -> None:
@@ -73,6 +75,7 @@
         self.input_buffer = ReceiveBuffer(pool)
         self.arrived_us = scheduler.earliest_arrival_us
         self.created_us = scheduler.now()
+        self.needs_open_peer = False
         # Whether the next received bytes may have arrived before this object was created.
         self._may_precede_stream = True
         self._poll: select.poll | None = None
@@ -202,7 +205,8 @@
             BufferPoolExhaustedError: There is no buffer to receive into.
             OSError: The connection was reset.
         """
-        self.scheduler.count_read()
+        if self.scheduler.count_read() and self.needs_open_peer and self.has_peer_closed():
+            return 0
         try:
             count = self.sock.recv_into(self.input_buffer.free_space())
         except BlockingIOError:
@@ -227,24 +231,36 @@
             self.arrived_us = min(self.arrived_us, self.scheduler.now() - waited_us + KERNEL_TICK_US)
         return self.arrived_us
 
-    def feed_to(self, parse: Callable[[memoryview], int]) -> None:
+    def feed_to(
+        self, parse: Callable[[memoryview], int], check_limits: Callable[[], None] = lambda: None
+    ) -> None:
         """Passes the unconsumed bytes to a parser, which returns how many of them it has consumed.
 
         It is called again while it consumes some and leaves some; others have their turn in between.
+
+        Args:
+            parse: The parser.
+            check_limits: Called before it goes on; may raise an exception.
+
+        Raises:
+            ConnectionError: The peer has closed meanwhile, so that nobody needs the rest.
         """
         while used := parse(self.input_buffer.unread()):
             self.input_buffer.consume(used)
             if self.input_buffer.buffer is None:  # all are consumed
                 return
             self.scheduler.yield_turn()
+            if self.needs_open_peer and self.has_peer_closed():
+                raise ConnectionError("the peer has closed while its input was parsed")
+            check_limits()
 
     def has_peer_closed(self) -> bool:
         """Returns whether the peer has closed or reset the connection, even if input is still unread."""
-        return bool(self._pending_events() & ~READABLE)
+        return bool(self.pending_events() & ~READABLE)
 
     def peer_presence(self) -> PeerPresence:
         """Returns whether the peer is there, has closed, or may have closed unseen behind unread input."""
-        events = self._pending_events()
+        events = self.pending_events()
         if not events:
             return PeerPresence.THERE
         if events != READABLE:
@@ -259,13 +275,9 @@
         is_reset = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return not is_reset and not undelivered_bytes(self.sock)
 
-    def has_input(self) -> bool:
-        """Returns whether there is something to read: data, or the end of the stream."""
-        return bool(self._pending_events())
-
     def idle_state(self) -> IdleState:
         """Returns the state of an idle connection without consuming any input."""
-        if not self._pending_events():
+        if not self.pending_events():
             return IdleState.USABLE
         try:
             self.sock.recv(1, socket.MSG_PEEK)
@@ -277,7 +289,7 @@
             return IdleState.ENDED
         return IdleState.ENDED
 
-    def _pending_events(self) -> int:
+    def pending_events(self) -> int:
         """Returns the mask that poll reports at this moment, without blocking."""
         if self._poll is None:
             self._poll = select.poll()
--- a/cressrail/proxy/clients.py
+++ b/cressrail/proxy/clients.py
@@ -12,6 +12,7 @@
 # A client that has sent no byte for this long amid its request may be closed to make room for another one,
 # whose request waits in the accept queue meanwhile.
 CLIENT_STALL_US = 500_000
+REQUEST_SPAN_US = 1_000_000  # the same for one that goes on sending, from its request's first byte
 FIRST_BYTE_WAIT_US = 250_000  # the same for a new client that has not begun its request
 # After this long it is closed even if there is room: services send their request as soon as they connect.
 CLIENT_SILENCE_LIMIT_US = 2_500_000
@@ -37,6 +38,7 @@
         is_over_limit: Whether the client connected beyond the connection limit; its requests are answered
             with 503 instead of being forwarded.
         routed_request: The request whose response the client waits for, if any.
+        receiving_since_us: Time of the first byte of the request that it is sending.
         answered_id: Id of the last request that was answered here and may have run; empty if there is none.
     """
 
@@ -45,6 +47,7 @@
         self.is_replaced = False
         self.is_over_limit = False
         self.routed_request: RoutedRequest | None = None
+        self.receiving_since_us = NEVER_US
         self.answered_id = ""
 
 
@@ -89,9 +92,10 @@
         self.unstarted[client] = silent_since_us
         return closed
 
-    def start_receiving(self, now_us: int, client: int) -> None:
+    def start_receiving(self, now_us: int, client: int, began_us: int) -> None:
         """Records the first byte of a request; a new client's silence counts from when it connected."""
         if client not in self.receiving:
+            self.open[client].receiving_since_us = began_us
             self.idle.pop(client, None)
             self.receiving[client] = self.unstarted.pop(client, now_us)
 
@@ -135,7 +139,7 @@
         return removed
 
     def find_closable(self, now_us: int) -> int | None:
-        """Returns a client that may be closed to make room: one that is idle or has stopped sending.
+        """Returns a client that may be closed to make room: one that is idle, has stopped sending or is slow.
 
         A new client gets `FIRST_BYTE_WAIT_US` to begin its first request, while a client that vanishes in the
         middle of a request does not keep its place.
@@ -147,13 +151,21 @@
                 oldest = min(silent, key=silent.__getitem__)
                 if silent[oldest] + limit_us <= now_us:
                     return oldest
+        began_first = next(iter(self.receiving), None)
+        if began_first is not None and self._span_end_us(began_first) <= now_us:
+            return began_first
         return None
 
+    def _span_end_us(self, client: int) -> int:
+        return self.open[client].receiving_since_us + REQUEST_SPAN_US
+
     def closable_from_us(self) -> int:
-        """Returns when a silent client may be closed to make room; `NEVER_US` if there is no such client."""
+        """Returns when a client that owes a request may be closed to make room; `NEVER_US` if none does."""
+        began_first = next(iter(self.receiving), None)
         return min(
             min(self.unstarted.values(), default=NEVER_US) + FIRST_BYTE_WAIT_US,
             min(self.receiving.values(), default=NEVER_US) + CLIENT_STALL_US,
+            self._span_end_us(began_first) if began_first is not None else NEVER_US,
         )
 
     def close_if_idle(self, client: int) -> CloseClient:
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -204,9 +204,9 @@
         read = commands.ReadRequest(client)
         return self._complete(now_us, [read] if closed is None else [closed, read])
 
-    def on_request_started(self, now_us: int, client: int) -> list[Command]:
-        """Handles the first byte of a request."""
-        self.clients.start_receiving(now_us, client)
+    def on_request_started(self, now_us: int, client: int, began_us: int | None = None) -> list[Command]:
+        """Handles the first byte of a request, which came at `began_us`, or now if that is None."""
+        self.clients.start_receiving(now_us, client, now_us if began_us is None else began_us)
         return self._complete(now_us, [])
 
     def on_request_progress(self, now_us: int, client: int, arrived_us: int) -> list[Command]:
@@ -214,9 +214,10 @@
         self.clients.record_progress(arrived_us, client)
         return self._complete(now_us, [])
 
-    def has_client_stalled(self, now_us: int, last_progress_us: int) -> bool:
-        """Returns whether a client has stalled in the middle of a request, so that it may be closed."""
-        return now_us - last_progress_us >= clients.CLIENT_STALL_US
+    def may_close_amid_request(self, now_us: int, began_us: int, last_progress_us: int) -> bool:
+        """Returns whether a client has stalled in its request, or takes so long that it may be closed."""
+        has_stalled = now_us - last_progress_us >= clients.CLIENT_STALL_US
+        return has_stalled or now_us - began_us >= clients.REQUEST_SPAN_US
 
     def on_request(self, now_us: int, client: int, request: Request, arrived_us: int) -> list[Command]:
         """Handles a request complete at `arrived_us`, or the head of one that is forwarded as it arrives."""
--- a/tests/faults/flood.py
+++ b/tests/faults/flood.py
@@ -25,6 +25,11 @@
     "chunk lines": lambda _: "1\r\nx\r\n",
     "unsound": lambda number: f"GET /api x{number}\r\n\r\n",
 }
+LARGE_BODIES = {
+    "leave after a body": b"content-length: 60000\r\n\r\n" + bytes(60_000),
+    "leave after tiny chunks": b"transfer-encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 70_000 + b"0\r\n\r\n",
+}
+LEAVING_KINDS = tuple(LARGE_BODIES)  # of clients that send one request on each connection, and leave at once
 FORWARDED_KIND = "new owners"
 FIRST_BYTES = {"chunk lines": b"POST /api HTTP/1.1\r\nreq-kind: read\r\ntransfer-encoding: chunked\r\n\r\n"}
 
@@ -44,6 +49,12 @@
             self.sock = socket.create_connection(self.address)
             self.sock.setblocking(False)
             self.unsent = FIRST_BYTES.get(self.kind, b"")
+        if self.kind in LEAVING_KINDS:
+            head = f"POST /api HTTP/1.1\r\nreq-kind: write\r\nreq-id: f{number}\r\n"
+            with suppress(OSError):
+                self.sock.send(head.encode() + LARGE_BODIES[self.kind])
+            self.close()
+            return number + 1
         if len(self.unsent) < BATCH:
             request = KINDS[self.kind]
             self.unsent += "".join(map(request, range(number, number + BATCH))).encode()
--- a/tests/faults/test_flood.py
+++ b/tests/faults/test_flood.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.faults.conftest import StartEndpoint, StartSidecar
-from tests.faults.flood import FORWARDED_KIND, KINDS
+from tests.faults.flood import FORWARDED_KIND, KINDS, LEAVING_KINDS
 from tests.faults.support import (
     LATE_S,
     Answer,
@@ -83,6 +83,17 @@
     assert sidecar.memory_bytes() - before_bytes < MAX_GROWTH_BYTES
 
 
+@pytest.mark.parametrize("kind", LEAVING_KINDS)
+def test_clients_that_send_much_and_leave_delay_no_other_client(
+    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, cleanup: ExitStack, kind: str
+) -> None:
+    """Guards against work for clients that have left, and places that they keep for as long as they send."""
+    sidecar = start_sidecar(start_endpoint("s0", answer_all), start_endpoint("s1", answer_all))
+    answers = ask_during_flood(sidecar, kind, cleanup)
+    assert all(map(is_final_and_in_time, answers)), answers
+    assert sum(answer.status == 200 for answer in answers) >= MIN_SERVED_SHARE * len(answers), answers
+
+
 def send_without_end(sock: socket.socket, data: bytes) -> None:
     """Writes the same bytes until the connection ends."""
     with suppress(OSError):
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -11,6 +11,7 @@
     CLIENT_STALL_US,
     FIRST_BYTE_WAIT_US,
     MAX_CLOSING_CLIENTS,
+    REQUEST_SPAN_US,
 )
 from cressrail.proxy.commands import Command
 from tests.proxy.support import ProxyDriver
@@ -131,4 +132,17 @@
 )
 def test_client_has_stalled_after_the_limit_without_a_byte(silent_us: int, has_stalled: bool) -> None:
     state_machine = ProxyDriver().state_machine
-    assert state_machine.has_client_stalled(SECOND + silent_us, last_progress_us=SECOND) is has_stalled
+    now = SECOND + silent_us
+    assert state_machine.may_close_amid_request(now, SECOND, last_progress_us=SECOND) is has_stalled
+
+
+def test_client_that_sends_one_request_for_long_is_closed_for_room() -> None:
+    driver = ProxyDriver(max_clients=2)
+    for client in (1, 2):
+        driver.connect_client(client)
+        driver.state_machine.on_request_started(client, client)
+        driver.state_machine.on_request_progress(REQUEST_SPAN_US, client, REQUEST_SPAN_US)
+    driver.connect_client(3, now=REQUEST_SPAN_US)
+    assert not driver.take_commands(commands.CloseClient)
+    driver.connect_client(4, now=REQUEST_SPAN_US + 1)
+    assert driver.take_commands(commands.CloseClient) == [commands.CloseClient(1, True)]
