Hand-over: an offer to a successor that does not ask ends after 30 s

What was seen: the table of waits had one without a bound. A process that had been offered the take-over and neither asked for it nor ended kept all others from it for as long as it lived.

Cause: HandoverServerTask serves one successor at a time and waited for its request without a limit.

Change: the wait ends after 30 s; a process that is not ready by then has failed to start for the platform too.

--- a/cressrail/network/handover_server.py
+++ b/cressrail/network/handover_server.py
@@ -29,6 +29,9 @@
 DESCRIPTORS = 4  # rendezvous socket, a successor, a refused connection and the connection to the predecessor
 BACKLOG = 4
 PEER_TIMEOUT_US = 1_000_000  # for the successor to send its hello, and to read each frame
+SUCCESSOR_START_US = (
+    30_000_000  # a process that is not ready by then has failed to start, for the platform too
+)
 FIXED_DESCRIPTORS = 24  # descriptors that a process holds beside those of clients and endpoints
 # A process that hands over keeps 1/4 of its buffers and connections, or those in use if these are more.
 KEPT_DIVISOR = 4
@@ -131,7 +134,7 @@
         listening = encode_frame(FrameKind.LISTENING, {ENDPOINT_LIST: endpoint_list})
         sent = socket.send_fds(connection.sock, [listening], [self.listening_socket.fileno()])
         connection.send(listening[sent:], dispatcher.now() + PEER_TIMEOUT_US)
-        frame = connection.receive_frame()
+        frame = connection.receive_frame(dispatcher.now() + SUCCESSOR_START_US)
         return frame is not None and frame.kind == FrameKind.TAKE_OVER
 
     def _hand_over(self, connection: HandoverConnection) -> set[str]:
