Requests: an id has 256 characters at most, since ids are kept after their clients left

What was seen: 3,000 clients that sent an id of 7,000 characters each and left let the process grow by 21 MB; up to 4,096 such ids of either kind are kept, and a hand-over would not have fitted them into its frame of 8 MiB.

Cause: what is kept of a request was bounded in number, not in bytes.

Change: a longer id is answered 400, like one that is missing.

Measured: the same clients, no growth (12 kB). The id of 257 characters was forwarded before.

--- a/cressrail/proxy/intake.py
+++ b/cressrail/proxy/intake.py
@@ -15,6 +15,7 @@
 from cressrail.proxy.requests import (
     DEADLINE_FIELD,
     IDEMPOTENCY_KEY_FIELD,
+    MAX_REQUEST_ID_LENGTH,
     REQUEST_CLASS_FIELD,
     REQUEST_ID_FIELD,
     TENANT_FIELD,
@@ -90,10 +91,12 @@
     def _time_limit_us(
         self, now_us: int, request: Request, request_id: str, request_class: RequestClass
     ) -> int | None:
-        """Returns a request's time limit in us; None if its deadline is invalid or its id is in use."""
+        """Returns a request's time limit in us; None if its deadline or id is invalid or the id is in use."""
         deadline = request.header_text(DEADLINE_FIELD)
         limit_us = parse_duration_us(deadline) if deadline is not None else request_class.deadline_us
-        if limit_us is None or self.requests.is_id_in_use(now_us, request_id):
+        if len(request_id) > MAX_REQUEST_ID_LENGTH or self.requests.is_id_in_use(now_us, request_id):
+            return None
+        if limit_us is None:
             return None
         return min(limit_us, request_class.deadline_us, self.lifecycle.answer_deadline_us - now_us)
 
--- a/cressrail/proxy/requests.py
+++ b/cressrail/proxy/requests.py
@@ -14,6 +14,7 @@
 DEADLINE_FIELD = b"req-deadline"
 IDEMPOTENCY_KEY_FIELD = b"idempotency-key"
 
+MAX_REQUEST_ID_LENGTH = 256  # characters; ids are kept and handed over
 MAX_KEPT_IDS = 4096  # the oldest are forgotten first
 # How long the id of a request stays in use that may have run although its client has left, or that the other
 # process of an upgrade has taken; times the longest deadline.
--- a/tests/proxy/test_intake.py
+++ b/tests/proxy/test_intake.py
@@ -19,6 +19,8 @@
         pytest.param({"req_kind": None}, 400, id="no-class"),
         pytest.param({"req_kind": "nonsense"}, 400, id="unknown-class"),
         pytest.param({"req_id": None}, 400, id="no-id"),
+        pytest.param({"req_id": "x" * 256}, None, id="longest-id"),
+        pytest.param({"req_id": "x" * 257}, 400, id="id-too-long"),
         pytest.param({"req_deadline": "soon"}, 400, id="malformed-deadline"),
         pytest.param({"path": "/_health"}, 200, id="health"),
         pytest.param({"path": "/_health?x=1"}, 200, id="health-with-query"),
