Soak: judged to the end of the process; clients that leave; ports that stay free

What SIGKILL or the exit finds unanswered is a fault now, and the floods have clients that send much and leave. A port that a test had chosen for a sidecar could be taken by a connection of another play (seen once: address already in use); such ports are now of loopback hosts from which nothing connects.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -22,7 +22,7 @@
 from contextlib import ExitStack, suppress
 from pathlib import Path
 
-from tests.faults.flood import KINDS
+from tests.faults.flood import KINDS, LEAVING_KINDS
 from tests.faults.support import (
     LATE_S,
     SMALL_BUFFER_BYTES,
@@ -55,6 +55,7 @@
         self.faults: list[str] = []
         self.statuses: Counter[int] = Counter()
         self.killed_s = float("inf")
+        self.unanswered: list[str] = []  # ids of requests that waited when the process ended
         self.endpoints = [self._endpoint(number) for number in range(ENDPOINTS)]
         settings = copy.deepcopy(SIDECAR_CONFIGURATION["settings"])
         for profile in settings["profiles"]:
@@ -114,6 +115,8 @@
             )
         if was_untaken and time.monotonic() < self.killed_s and self._has_arrived(request_id):
             self.faults.append(f"{request_id}: sent to an endpoint, and closed without an answer")
+        elif not answer.status and time.monotonic() >= self.killed_s:
+            self.unanswered.append(request_id)
         return answer.status == 200
 
     def _has_arrived(self, request_id: str) -> bool:
@@ -123,7 +126,7 @@
         """Starts a flood and a crowd in some plays, and sends a series of signals."""
         host, port = self.sidecar.address
         if self.random.random() < FLOOD_SHARE:
-            kind = self.random.choice(list(KINDS))
+            kind = self.random.choice([*KINDS, *LEAVING_KINDS])
             command = [sys.executable, "-m", "tests.faults.flood", host, str(port), kind, "4", str(RUN_S)]
             flood = subprocess.Popen(command, stderr=subprocess.DEVNULL)
             cleanup.callback(flood.wait)
@@ -159,6 +162,12 @@
         self.sidecar.close()
         self.faults += [str(event) for event in self.sidecar.events("fault")]
 
+    def check_end(self) -> None:
+        """Checks that no request waited for its answer when the process ended, by itself or by the kill."""
+        was_killed = self.sidecar.process.returncode == -signal.SIGKILL
+        lost = [name for name in self.unanswered if was_killed or self._has_arrived(name)]
+        self.faults += [f"{name}: unanswered at the end" for name in lost]
+
     def check_runs(self) -> None:
         """Checks that no request that may run once only ran twice."""
         runs = Counter(arrival.request_id for endpoint in self.endpoints for arrival in endpoint.arrivals)
@@ -228,6 +237,7 @@
         current.end()
         for thread in threads:
             thread.join(10)
+        current.check_end()
         current.check_runs()
         return seed, current.statuses, current.faults
 
--- a/tests/faults/support.py
+++ b/tests/faults/support.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
+from random import SystemRandom
 from typing import Any, NamedTuple
 
 from tests.support.configuration import SIDECAR_CONFIGURATION, endpoint_entry
@@ -22,6 +23,7 @@
 LATE_S = 0.55  # how long after its deadline an answer is not lost yet: the rule's figure on sockets
 SMALL_BUFFER_BYTES = 4096
 MAX_ANSWER_BYTES = 32 << 20
+RANDOM = SystemRandom()  # seeded plays draw from generators of their own
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -221,8 +223,9 @@
 
 
 def unused() -> tuple[str, int]:
-    """Returns a loopback address on which nobody listens."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
+    """Returns an address on which nobody listens, of a host whose ports no connection takes meanwhile."""
+    host = f"127.{RANDOM.randrange(64, 128)}.{RANDOM.randrange(256)}.{RANDOM.randrange(1, 255)}"
+    with socket.create_server((host, 0)) as server:
         host, port = server.getsockname()[:2]
         return host, port
 
