Event loop: turns end by time, tasks with few turns first; uploads look at their time

Cause: a turn was two reads of a body or 64 lines of chunks, whatever either costs, and all that had yielded took turns alike: an upload waited for a dozen turns of each of them. An upload looked at its time only where its endpoint took nothing; not while it was read slowly, nor while it waited for a buffer, where no limit stood at all.

Change: a turn lasts 0.2 ms; tasks with up to eight turns since they woke go before those with more, of which one runs in each round. An upload looks at its time every 20 ms. The arrival time of its bytes stays what it was before the turn ended, since they may have waited all along.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -3,7 +3,7 @@
 A task runs until it calls `Scheduler.wait`, where it blocks, or `Scheduler.yield_turn`. It wakes when its
 descriptor is ready, when a message is posted to it, or when its timer expires.
 
-Whatever a peer sends, no task holds the others up: one that has read `MAX_READS_PER_TURN` times, or that
+Whatever a peer sends, no task holds the others up: one that goes on reading or parsing for `TURN_US`, or that
 has more requests of one client to answer, yields. Tasks that have yielded go on behind those that wake, and
 for a short time in each round.
 
@@ -45,7 +45,8 @@
 MAX_VITAL_FAULTS = 8  # the loop ends when a vital task has failed this often within the window
 VITAL_FAULT_WINDOW_US = 10_000_000
 LONG_ROUND_US = 100_000  # a round that took longer is reported
-MAX_READS_PER_TURN = 2  # of a buffer each
+TURN_US = 200  # how long a task reads and parses before others have their turn
+MAX_FIRST_TURNS = 8  # of a task since it woke; then those that have had fewer go first
 YIELDED_TURNS_US = 2_000  # time in each round for tasks that have yielded; at least one of them runs
 
 
@@ -56,7 +57,9 @@
         greenlet: The greenlet that the task runs on.
         has_priority: Whether the task runs before other ready tasks of a round.
         messages: The mailbox: posted messages that the task has not removed yet.
-        reads: Number of reads since the task last woke or yielded.
+        has_read: Whether the task has read since it last woke or yielded.
+        turn_end_us: When its turn is over; 0 before it was first asked.
+        turns: Number of turns that have ended since it woke.
         fd: The descriptor that the task waits for; -1 for none.
         earliest_arrival_us: The earliest time at which the input that woke the task may have arrived.
         wait_number: Number of waits and wake-ups so far; a timer that was set under another number is
@@ -69,9 +72,11 @@
         "fd",
         "greenlet",
         "has_priority",
+        "has_read",
         "is_waiting_for_message",
         "messages",
-        "reads",
+        "turn_end_us",
+        "turns",
         "wait_number",
     )
 
@@ -79,7 +84,9 @@
         self.greenlet = body
         self.has_priority = has_priority
         self.messages: deque[Any] = deque()
-        self.reads = 0
+        self.has_read = False
+        self.turn_end_us = 0
+        self.turns = 0
         self.fd = -1
         self.earliest_arrival_us = 0
         self.wait_number = 0
@@ -120,6 +127,7 @@
         self.task_by_descriptor: dict[int, Task] = {}
         self.ready: deque[tuple[Task, int]] = deque()
         self.yielded: deque[Task] = deque()
+        self.often_yielded: deque[Task] = deque()  # those with more than `MAX_FIRST_TURNS`
         # A heap of (time, sequence number of the timer, task, wait number of the task).
         self.timers: list[tuple[int, int, Task, int]] = []
         self.timer_count = 0
@@ -228,35 +236,55 @@
             heappush(self.timers, (until_us, self.timer_count, task, task.wait_number))
         return int(self.hub.switch())
 
-    def count_read(self) -> bool:
-        """Counts a read of the running task; its turn ends first if it has read often enough.
+    def begin_read(self) -> bool:
+        """Tells that the running task is about to read; its turn ends first if it is over.
 
         Returns:
             Whether others have had their turn meanwhile.
         """
         task = self.current
+        if task is None or not task.has_read:  # the first read needs no look at the clock
+            if task is not None:
+                task.has_read = True
+            return False
+        return self.end_turn_if_over()
+
+    def end_turn_if_over(self) -> bool:
+        """Lets others have their turn if that of the running task is over; returns whether they had it."""
+        task = self.current
         if task is None:
             return False
-        has_yielded = task.reads >= MAX_READS_PER_TURN
-        if has_yielded:
-            self.yield_turn()
-        task.reads += 1
-        return has_yielded
+        now_us = self.now()
+        if not task.turn_end_us:
+            task.turn_end_us = now_us + TURN_US
+        if now_us < task.turn_end_us:
+            return False
+        self.yield_turn()
+        return True
 
     def yield_turn(self) -> None:
         """Lets all other tasks that are or become ready run before the running task goes on."""
         task = self.current
         assert task is not None
-        task.reads = 0
-        # What the task reads from now on may have arrived since this round began.
-        task.earliest_arrival_us = self.round_started_us
-        self.yielded.append(task)
+        task.has_read = False
+        task.turn_end_us = 0
+        task.turns += 1
+        (self.yielded if task.turns <= MAX_FIRST_TURNS else self.often_yielded).append(task)
         self.hub.switch()
 
+    def begin_next_input(self) -> None:
+        """Tells that what the running task has read so far is dealt with, whenever it arrived.
+
+        What it reads from now on may have arrived since this round began.
+        """
+        if self.current is not None:
+            self.current.earliest_arrival_us = self.round_started_us
+
     def _wake(self, task: Task, result: int) -> None:
         """Marks a task as ready to run; its call of `wait` will return `result`."""
         task.is_waiting_for_message = False
-        task.reads = 0
+        task.has_read = False
+        task.turn_end_us = task.turns = 0
         task.wait_number += 1
         task.earliest_arrival_us = self.earliest_event_us
         if task.fd >= 0:
@@ -280,22 +308,27 @@
                 task.greenlet.switch(result)
                 if self.is_stopped:
                     break
-            if self.yielded:
+            if self.yielded or self.often_yielded:
                 self._run_yielded()
             self.current = None
             self.after_round()
 
     def _run_yielded(self) -> None:
-        """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`."""
+        """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`.
+
+        Those that have had few turns go first, so that a request of usual size does not wait for as many
+        turns of each that goes on for long. Of either kind one runs at least.
+        """
         until_us = self.now() + YIELDED_TURNS_US
-        for _ in range(len(self.yielded)):
-            if self.is_stopped:
-                break
-            self.current = task = self.yielded.popleft()
-            self.round_tasks += 1
-            task.greenlet.switch(TIMED_OUT)
-            if self.now() >= until_us:
-                break
+        for yielded in (self.yielded, self.often_yielded):
+            for _ in range(len(yielded)):
+                if self.is_stopped:
+                    return
+                self.current = task = yielded.popleft()
+                self.round_tasks += 1
+                task.greenlet.switch(TIMED_OUT)
+                if self.now() >= until_us:
+                    break
 
     def _poll(self) -> None:
         """Polls once, and wakes the tasks whose descriptors are ready or whose timers have expired."""
@@ -331,7 +364,7 @@
         timers = self.timers
         while timers and timers[0][2].wait_number != timers[0][3]:  # the task has woken since
             heappop(timers)
-        if self.ready or self.yielded:
+        if self.ready or self.yielded or self.often_yielded:
             return 0
         return max(0, timers[0][0] - now_us) if timers else NEVER
 
--- a/cressrail/network/admin_server.py
+++ b/cressrail/network/admin_server.py
@@ -124,7 +124,7 @@
     def _receive(self, until_us: int) -> bytes:
         """Returns received bytes; empty if the caller disconnects, after `until_us` or after `CLOSE_CALL`."""
         scheduler = self.dispatcher.scheduler
-        scheduler.count_read()
+        scheduler.begin_read()
         while self.dispatcher.now() < until_us and not scheduler.current_task().messages:
             try:
                 return self.sock.recv(READ_BYTES)
--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -99,6 +99,7 @@
         # A client that has sent several requests lets others have their turn in between.
         if self.stream.input_buffer.buffer is not None:
             self.dispatcher.scheduler.yield_turn()
+            self.dispatcher.scheduler.begin_next_input()
             if self.stream.has_peer_closed():
                 return False
         self._reception = RequestReception(
--- a/cressrail/network/handover_connection.py
+++ b/cressrail/network/handover_connection.py
@@ -90,7 +90,7 @@
         Raises:
             OSError: The connection was reset.
         """
-        self.scheduler.count_read()
+        self.scheduler.begin_read()
         while True:
             try:
                 return self.sock.recv(READ_BYTES)
--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -19,6 +19,7 @@
 from cressrail.proxy.requests import REQUEST_ID_FIELD
 
 MIN_UPLOAD_BYTES_PER_S = 48_000  # a client that stays below this rate is refused eventually
+TIME_CHECK_US = 20_000  # between looks at the time of a request that is still being read
 MAX_UPLOAD_LAG_US = 4_000_000  # how far a client may fall behind that rate
 US_PER_S = 1_000_000
 
@@ -59,6 +60,7 @@
         self._due_us = dispatcher.now() + MAX_UPLOAD_LAG_US  # time by which more bytes must have arrived
         self._is_drained = False  # whether the client had sent nothing more when the connection was last read
         self._has_reported_stall = False
+        self._next_check_us = dispatcher.now() + TIME_CHECK_US
         request = reader.incomplete_request
         self._clock = UploadClock(stream.arrived_us, request.content_length if request else None)
 
@@ -76,6 +78,7 @@
         arrived_us = self.stream.arrived_us
         if self.reader.request is not None:
             arrived_us = request_arrived_us(dispatcher, self.stream, self.reader.request)
+            arrived_us = max(arrived_us, self._clock.incomplete_us)
         dispatcher.dispatch(state_machine.on_request_complete(dispatcher.now(), self.client, arrived_us))
         if state_machine.awaits_response(self.client):
             self.pipe.close()
@@ -87,19 +90,21 @@
         now, scheduler = self.dispatcher.now, self.dispatcher.scheduler
         messages = scheduler.current_task().messages
         while not messages:
-            if not self.pipe.has_room():
-                waits_since_us = now()
-                if waits_since_us >= self._expires_us():
-                    self._expire()
-                    return UploadState.ABORTED
+            turn_us = now()
+            has_room = self.pipe.has_room()
+            if self._is_expired(turn_us, must_look=not has_room):
+                self._expire()
+                return UploadState.ABORTED
+            if not has_room:
                 if not self._wait_for_room():
                     return UploadState.CLIENT_LEFT
-                self._due_us += now() - waits_since_us  # the client did not cause this delay
+                self._due_us += now() - turn_us  # the client did not cause this delay
                 continue
             try:
                 count = self._receive()
             except BufferPoolExhaustedError:
                 scheduler.wait(until_us=now() + BUFFER_RETRY_US)
+                self._due_us += now() - turn_us
             except MalformedMessageError as error:
                 self._abort(error)
                 return UploadState.ABORTED
@@ -132,6 +137,13 @@
             self.stream.feed_to(self.reader.feed)
         return count
 
+    def _is_expired(self, now_us: int, must_look: bool) -> bool:
+        """Returns whether the request's time may be over; looks every `TIME_CHECK_US` at the least."""
+        if not must_look and now_us < self._next_check_us:
+            return False
+        self._next_check_us = now_us + TIME_CHECK_US
+        return now_us >= self._expires_us()
+
     def _expires_us(self) -> int:
         """Returns when the request's time may be over, given that the sidecar reads no more until then."""
         self._clock.on_received(
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -205,7 +205,7 @@
             BufferPoolExhaustedError: There is no buffer to receive into.
             OSError: The connection was reset.
         """
-        if self.scheduler.count_read() and self.needs_open_peer and self.has_peer_closed():
+        if self.scheduler.begin_read() and self.needs_open_peer and self.has_peer_closed():
             return 0
         try:
             count = self.sock.recv_into(self.input_buffer.free_space())
@@ -249,8 +249,8 @@
             self.input_buffer.consume(used)
             if self.input_buffer.buffer is None:  # all are consumed
                 return
-            self.scheduler.yield_turn()
-            if self.needs_open_peer and self.has_peer_closed():
+            has_yielded = self.scheduler.end_turn_if_over()
+            if has_yielded and self.needs_open_peer and self.has_peer_closed():
                 raise ConnectionError("the peer has closed while its input was parsed")
             check_limits()
 
--- a/tests/faults/support.py
+++ b/tests/faults/support.py
@@ -224,7 +224,8 @@
 
 def unused() -> tuple[str, int]:
     """Returns an address on which nobody listens, of a host whose ports no connection takes meanwhile."""
-    host = f"127.{RANDOM.randrange(64, 128)}.{RANDOM.randrange(256)}.{RANDOM.randrange(1, 255)}"
+    # Short, since it is part of the rendezvous path, whose length is limited.
+    host = f"127.{RANDOM.randrange(10, 100)}.{RANDOM.randrange(10)}.{RANDOM.randrange(1, 10)}"
     with socket.create_server((host, 0)) as server:
         host, port = server.getsockname()[:2]
         return host, port
