Uploads: what waits behind a shut window counts; tasks go by their number of turns

Evidence (log lines in a scratch copy): when such an upload was rejected it had been whole for 0.97 to 1.07 s, 82 of 200 kB read, 600 connections had yielded, all with eight turns or fewer.

Cause: (1) an empty connection was taken as proof that the client was still writing. Where the receive window had been shut, the rest was only on its way. (2) A turn came after one of each of the 600, all of which counted as tasks with few turns.

(2) Tasks that have yielded go on in the order of how many turns they have had, up to 15; of those with the most one runs in each round.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -46,7 +46,7 @@
 VITAL_FAULT_WINDOW_US = 10_000_000
 LONG_ROUND_US = 100_000  # a round that took longer is reported
 TURN_US = 200  # how long a task reads and parses before others have their turn
-MAX_FIRST_TURNS = 8  # of a task since it woke; then those that have had fewer go first
+TURN_LEVELS = 16  # tasks that have had fewer turns go first; those with this many or more are alike
 YIELDED_TURNS_US = 2_000  # time in each round for tasks that have yielded; at least one of them runs
 
 
@@ -59,7 +59,7 @@
         messages: The mailbox: posted messages that the task has not removed yet.
         has_read: Whether the task has read since it last woke or yielded.
         turn_end_us: When its turn is over; 0 before it was first asked.
-        turns: Number of turns that have ended since it woke.
+        turns: Number of turns that have ended since it woke, `TURN_LEVELS` - 1 at most.
         fd: The descriptor that the task waits for; -1 for none.
         earliest_arrival_us: The earliest time at which the input that woke the task may have arrived.
         wait_number: Number of waits and wake-ups so far; a timer that was set under another number is
@@ -126,8 +126,8 @@
         self.last_full_poll_us = self.next_full_poll_us = self.last_event_us = now()
         self.task_by_descriptor: dict[int, Task] = {}
         self.ready: deque[tuple[Task, int]] = deque()
-        self.yielded: deque[Task] = deque()
-        self.often_yielded: deque[Task] = deque()  # those with more than `MAX_FIRST_TURNS`
+        self.yielded: list[deque[Task]] = [deque() for _ in range(TURN_LEVELS)]  # by their number of turns
+        self.yielded_count = 0
         # A heap of (time, sequence number of the timer, task, wait number of the task).
         self.timers: list[tuple[int, int, Task, int]] = []
         self.timer_count = 0
@@ -268,8 +268,9 @@
         assert task is not None
         task.has_read = False
         task.turn_end_us = 0
-        task.turns += 1
-        (self.yielded if task.turns <= MAX_FIRST_TURNS else self.often_yielded).append(task)
+        self.yielded[task.turns].append(task)
+        self.yielded_count += 1
+        task.turns = min(task.turns + 1, TURN_LEVELS - 1)
         self.hub.switch()
 
     def begin_next_input(self) -> None:
@@ -308,7 +309,7 @@
                 task.greenlet.switch(result)
                 if self.is_stopped:
                     break
-            if self.yielded or self.often_yielded:
+            if self.yielded_count:
                 self._run_yielded()
             self.current = None
             self.after_round()
@@ -317,18 +318,22 @@
         """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`.
 
         Those that have had few turns go first, so that a request of usual size does not wait for as many
-        turns of each that goes on for long. Of either kind one runs at least.
+        turns of each that goes on for long. Of those with the most turns one runs in any case.
         """
         until_us = self.now() + YIELDED_TURNS_US
-        for yielded in (self.yielded, self.often_yielded):
-            for _ in range(len(yielded)):
-                if self.is_stopped:
+        most_turns = max(level for level in range(TURN_LEVELS) if self.yielded[level])
+        self._continue(self.yielded[most_turns].popleft())
+        for level in self.yielded:
+            for _ in range(len(level)):
+                if self.is_stopped or self.now() >= until_us:
                     return
-                self.current = task = yielded.popleft()
-                self.round_tasks += 1
-                task.greenlet.switch(TIMED_OUT)
-                if self.now() >= until_us:
-                    break
+                self._continue(level.popleft())
+
+    def _continue(self, task: Task) -> None:
+        self.yielded_count -= 1
+        self.round_tasks += 1
+        self.current = task
+        task.greenlet.switch(TIMED_OUT)
 
     def _poll(self) -> None:
         """Polls once, and wakes the tasks whose descriptors are ready or whose timers have expired."""
@@ -364,7 +369,7 @@
         timers = self.timers
         while timers and timers[0][2].wait_number != timers[0][3]:  # the task has woken since
             heappop(timers)
-        if self.ready or self.yielded or self.often_yielded:
+        if self.ready or self.yielded_count:
             return 0
         return max(0, timers[0][0] - now_us) if timers else NEVER
 
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -13,6 +13,7 @@
 from cressrail.network.late_reads import request_arrived_us
 from cressrail.network.request_upload import RequestUpload
 from cressrail.network.socket_stream import SocketStream, StreamInterruptedError, StreamTimeoutError
+from cressrail.network.upload_clock import UploadClock
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PROGRESS_STEP_BYTES = 16 << 10  # growth of a kept body that restarts the request's time limit
@@ -62,6 +63,7 @@
         self._until_us = NEVER
         self._progress_steps = 0  # number of steps that the body has begun; 0 before the head is complete
         self._last_progress_us = 0
+        self._clock: UploadClock | None = None  # set once a part of the request was read
 
     def run(self) -> ReceptionResult:
         """Receives until the request is complete, too large to keep, or refused.
@@ -121,6 +123,8 @@
 
     def _note_progress(self, reader: RequestReader) -> None:
         self._last_progress_us = self.stream.input_arrived_us()
+        if self._clock is None:
+            self._clock = UploadClock(self._last_progress_us, None)
         self.dispatcher.dispatch(
             self.state_machine.on_request_progress(self.dispatcher.now(), self.client, self._last_progress_us)
         )
@@ -143,7 +147,11 @@
         if count == 0:
             return ReceptionResult.CLIENT_LEFT
         if count < 0:
+            if self._clock is not None:
+                self._clock.on_empty(self.dispatcher.now())
             self.stream.wait(READABLE, self._until_us, wakes_on_message=True, is_idle=is_idle)
+        elif self._clock is not None:
+            self._clock.on_read(count, self.stream.arrived_us)
         return None
 
     def _check_limits(self) -> None:
@@ -180,7 +188,9 @@
         if self._body is None or self._body.pipe is None:
             raise ValueError("the body of a streaming request has no pipe")
         pipe, self._body = self._body.pipe, None
-        self.upload = RequestUpload(self.dispatcher, self.client, self.stream, reader, pipe)
+        clock = self._clock or UploadClock(self.stream.input_arrived_us(), None)
+        clock.content_length = request.content_length
+        self.upload = RequestUpload(self.dispatcher, self.client, self.stream, reader, pipe, clock)
         self._pass_on(request, self.dispatcher.now())
         return ReceptionResult.UPLOAD_STARTED
 
--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -51,6 +51,7 @@
         stream: SocketStream,
         reader: RequestReader,
         pipe: Pipe,
+        clock: UploadClock,
     ) -> None:
         self.dispatcher = dispatcher
         self.client = client
@@ -58,11 +59,9 @@
         self.reader = reader
         self.pipe = pipe
         self._due_us = dispatcher.now() + MAX_UPLOAD_LAG_US  # time by which more bytes must have arrived
-        self._is_drained = False  # whether the client had sent nothing more when the connection was last read
         self._has_reported_stall = False
         self._next_check_us = dispatcher.now() + TIME_CHECK_US
-        request = reader.incomplete_request
-        self._clock = UploadClock(stream.arrived_us, request.content_length if request else None)
+        self._clock = clock
 
     def is_complete(self) -> bool:
         """Returns whether the whole request has been received."""
@@ -123,14 +122,12 @@
         """
         count = self.stream.receive()
         if count < 0:
-            self._is_drained = True
+            self._clock.on_empty(self.dispatcher.now())
             event = self.dispatcher.scheduler.wait(self.stream.descriptor, READABLE, self._due_us)
             if event == TIMED_OUT:
                 raise RequestTimeoutError(f"upload slower than {MIN_UPLOAD_BYTES_PER_S} bytes/s")
         elif count > 0:
-            if self._is_drained:
-                self._is_drained = False
-                self._clock.on_drained(self.stream.arrived_us)
+            self._clock.on_read(count, self.stream.arrived_us)
             # A pause is allowed if faster bytes before or after it make up for it, up to the maximum lag.
             latest_due_us = self.dispatcher.now() + MAX_UPLOAD_LAG_US
             self._due_us = min(self._due_us + count * US_PER_S // MIN_UPLOAD_BYTES_PER_S, latest_due_us)
