Memory: the fields of kept requests count as buffers, by need

What was seen: 550 clients that each stop within a request with 90 fields, limit 48 MB: 55 MB; 1,500 of them, 64 MB and 4,096 descriptors: 80 MB, over the limit, for which the process is killed.

Cause: the buffer pool got what is left beside the most that all clients could hold. Where that is more than the limit, a sixteenth of it was lent all the same, and nothing counted the fields that were really there; those of a refused request stayed until its connection ended.

Change: the fields of a request count as buffers from when its head was read until it ends, one for 32 fields; a request that finds no room gets 503. A refused request is given up at once.

--- a/cressrail/buffers/pipe.py
+++ b/cressrail/buffers/pipe.py
@@ -8,6 +8,7 @@
 from cressrail.buffers.pool import BUFFER_BYTES, BufferChain, BufferPool
 
 KEPT_BODY_BYTES = 65536  # a body up to this size is kept, so that its request can be sent again
+FIELDS_PER_BUFFER = 32  # a parsed field takes 256 bytes, with its name, value and look-up entry
 MAX_PIPE_BUFFERS = 8  # the writer checks `has_room` against this limit before it receives more data
 
 
@@ -141,13 +142,26 @@
 
     Attributes:
         pipe: Pipe for the bytes that are not kept; None as long as the whole body is kept.
+        reserved: Buffers for which the fields of the body's message count.
     """
 
-    __slots__ = ("pipe",)
+    __slots__ = ("pipe", "reserved")
 
     def __init__(self, pool: BufferPool) -> None:
         super().__init__(pool)
         self.pipe: Pipe | None = None
+        self.reserved = 0
+
+    def reserve_fields(self, count: int) -> None:
+        """Counts the fields of the body's message as memory that is lent out, until `release`.
+
+        Raises:
+            BufferPoolExhaustedError: The pool has too little left.
+        """
+        buffers = count // FIELDS_PER_BUFFER
+        if buffers:
+            self.pool.reserve(buffers)
+            self.reserved += buffers
 
     def append(self, data: memoryview) -> None:
         """Copies data to the kept part, and any data beyond its limit to the pipe.
@@ -177,6 +191,9 @@
     def release(self) -> None:
         """Returns all buffers to the pool and discards the pipe."""
         self.release_kept()
+        if self.reserved:
+            self.pool.end_reservation(self.reserved)
+            self.reserved = 0
         if self.pipe is not None:
             self.pipe.discard()
 
--- a/cressrail/buffers/pool.py
+++ b/cressrail/buffers/pool.py
@@ -38,8 +38,23 @@
         self.lent += 1
         return self.free.pop() if self.free else bytearray(BUFFER_BYTES)
 
+    def reserve(self, count: int) -> None:
+        """Counts memory of another kind as `count` buffers that are lent out.
+
+        Raises:
+            BufferPoolExhaustedError: The limit would be exceeded.
+        """
+        if self.lent + count > self.max_lent:
+            raise BufferPoolExhaustedError
+        self.lent += count
+        self.release_excess()
+
+    def end_reservation(self, count: int) -> None:
+        """Ends what `reserve` has begun."""
+        self.lent -= count
+
     def release_excess(self) -> None:
-        """Frees returned buffers that exceed the limit after `max_lent` has been lowered."""
+        """Frees returned buffers that exceed what may still be lent."""
         del self.free[max(0, self.max_lent - self.lent) :]
 
     def return_buffer(self, buffer: bytearray) -> None:
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -63,6 +63,7 @@
         self._until_us = NEVER
         self._progress_steps = 0  # number of steps that the body has begun; 0 before the head is complete
         self._last_progress_us = 0
+        self._has_reserved = False  # whether the memory of the request's fields is counted
         self._clock: UploadClock | None = None  # set once a part of the request was read
 
     def run(self) -> ReceptionResult:
@@ -86,16 +87,18 @@
                 return result
 
     def release(self) -> None:
-        """Returns the buffers of a request that was not passed to the state machine."""
+        """Gives up a request that was not passed to the state machine, with its buffers and fields."""
         if self._body is not None:
             self._body.release()
             self._body = None
+        self._reader = None
 
     def _parse(self) -> ReceptionResult | None:
         """Parses the received bytes; returns None if more are needed."""
         try:
             reader = self._reader or self._start()
             self.stream.feed_to(reader.feed, self._check_limits)
+            self._reserve_fields(reader)
         except MalformedMessageError as error:
             return self._refuse(error.status, str(error))
         if reader.incomplete_request is not None and reader.incomplete_request.is_streaming:
@@ -121,6 +124,12 @@
         self._reader = RequestReader(self._body)
         return self._reader
 
+    def _reserve_fields(self, reader: RequestReader) -> None:
+        """Counts the fields of a request as memory, once its head was read."""
+        if reader.incomplete_request is not None and self._body is not None and not self._has_reserved:
+            self._has_reserved = True
+            self._body.reserve_fields(len(reader.incomplete_request.headers))
+
     def _note_progress(self, reader: RequestReader) -> None:
         self._last_progress_us = self.stream.input_arrived_us()
         if self._clock is None:
--- a/tests/faults/test_crowd.py
+++ b/tests/faults/test_crowd.py
@@ -17,6 +17,8 @@
 
 MEMORY_LIMIT_MB = 64
 CLIENTS = 400
+SMALL_LIMIT_MB = 48
+MORE_CLIENTS = 550
 LONG_BYTES = 4_000_000
 HOLD_S = 3.0
 SHORT_FIELDS = "".join(f"{number:x}:\r\n" for number in range(1400)).encode()
@@ -80,10 +82,10 @@
         peer.sock.sendall(response_bytes(bytes(LONG_BYTES if is_long else 10)))
 
 
-def open_crowd(sidecar: Sidecar, data_of: Callable[[int], bytes]) -> list[socket.socket]:
-    """Connects `CLIENTS` clients, each of which writes what the kernel takes and then reads nothing."""
+def open_crowd(sidecar: Sidecar, data_of: Callable[[int], bytes], clients: int) -> list[socket.socket]:
+    """Connects clients, each of which writes what the kernel takes and then reads nothing."""
     crowd = []
-    for number in range(CLIENTS):
+    for number in range(clients):
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.connect(sidecar.address)
@@ -94,16 +96,26 @@
     return crowd
 
 
-@pytest.mark.parametrize("crowd_of", CROWDS)
+@pytest.mark.parametrize(
+    ("crowd_of", "clients", "limit_mb"),
+    [
+        *((crowd_of, CLIENTS, MEMORY_LIMIT_MB) for crowd_of in CROWDS),
+        (stop_after_as_many_fields_as_allowed, MORE_CLIENTS, SMALL_LIMIT_MB),
+    ],
+)
 def test_crowd_keeps_the_process_within_its_memory_limit(
-    start_endpoint: StartEndpoint, start_sidecar: StartSidecar, crowd_of: Callable[[int], bytes]
+    start_endpoint: StartEndpoint,
+    start_sidecar: StartSidecar,
+    crowd_of: Callable[[int], bytes],
+    clients: int,
+    limit_mb: int,
 ) -> None:
     """Guards against memory beside the buffers that grows with clients or fields, and too many buffers."""
-    limits = copy.deepcopy(SIDECAR_CONFIGURATION["limits"]) | {"memory_mb": MEMORY_LIMIT_MB}
+    limits = copy.deepcopy(SIDECAR_CONFIGURATION["limits"]) | {"memory_mb": limit_mb}
     sidecar = start_sidecar(start_endpoint("s0", answer_late), limits=limits)
-    crowd = open_crowd(sidecar, crowd_of)
+    crowd = open_crowd(sidecar, crowd_of, clients)
     time.sleep(HOLD_S)
-    assert sidecar.memory_bytes() < MEMORY_LIMIT_MB << 20
+    assert sidecar.memory_bytes() < limit_mb << 20
     assert sidecar.process.poll() is None
     for sock in crowd:
         sock.close()
