Event loop: of the tasks that have yielded, the one that waits longest goes on in each round

Cause, found by reading the order of turns again: tasks with few turns go first, and of those with the most one ran in each round. A task with neither could wait for as long as others with fewer kept coming.

Change: the turn that every round has goes to the task that yielded in the earliest round, however many turns it has had. No yielded task runs any more once the loop has been stopped.

Measured: the new test failed with the order before (most turns first) and passes now; tests/event_loop: 9 passed.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -59,6 +59,7 @@
         messages: The mailbox: posted messages that the task has not removed yet.
         has_read: Whether the task has read since it last woke or yielded.
         turn_end_us: When its turn is over; 0 before it was first asked.
+        yielded_round: Number of the round in which it yielded last.
         turns: Number of turns that have ended since it woke, `TURN_LEVELS` - 1 at most.
         fd: The descriptor that the task waits for; -1 for none.
         earliest_arrival_us: The earliest time at which the input that woke the task may have arrived.
@@ -78,6 +79,7 @@
         "turn_end_us",
         "turns",
         "wait_number",
+        "yielded_round",
     )
 
     def __init__(self, body: greenlet, has_priority: bool) -> None:
@@ -87,6 +89,7 @@
         self.has_read = False
         self.turn_end_us = 0
         self.turns = 0
+        self.yielded_round = 0
         self.fd = -1
         self.earliest_arrival_us = 0
         self.wait_number = 0
@@ -138,6 +141,7 @@
         self.current: Task | None = None
         self.round_started_us = self.earliest_event_us = now()
         self.round_tasks = 0
+        self.rounds = 0
 
     def spawn(self, work: Callable[[], None], has_priority: bool = False, is_vital: bool = False) -> Task:
         """Creates a task that starts in the next round.
@@ -268,6 +272,7 @@
         assert task is not None
         task.has_read = False
         task.turn_end_us = 0
+        task.yielded_round = self.rounds
         self.yielded[task.turns].append(task)
         self.yielded_count += 1
         task.turns = min(task.turns + 1, TURN_LEVELS - 1)
@@ -302,6 +307,7 @@
         while not self.is_stopped:
             self._poll()
             # Tasks that become ready during this loop run after the next poll.
+            self.rounds += 1
             self.round_tasks = len(self.ready)
             for _ in range(self.round_tasks):
                 task, result = self.ready.popleft()
@@ -309,7 +315,7 @@
                 task.greenlet.switch(result)
                 if self.is_stopped:
                     break
-            if self.yielded_count:
+            if self.yielded_count and not self.is_stopped:
                 self._run_yielded()
             self.current = None
             self.after_round()
@@ -318,11 +324,11 @@
         """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`.
 
         Those that have had few turns go first, so that a request of usual size does not wait for as many
-        turns of each that goes on for long. Of those with the most turns one runs in any case.
+        turns of each that goes on for long. The one that has waited longest runs in any case.
         """
         until_us = self.now() + YIELDED_TURNS_US
-        most_turns = max(level for level in range(TURN_LEVELS) if self.yielded[level])
-        self._continue(self.yielded[most_turns].popleft())
+        longest_waiting = min(filter(None, self.yielded), key=lambda level: level[0].yielded_round)
+        self._continue(longest_waiting.popleft())
         for level in self.yielded:
             for _ in range(len(level)):
                 if self.is_stopped or self.now() >= until_us:
--- a/tests/event_loop/test_scheduler.py
+++ b/tests/event_loop/test_scheduler.py
@@ -182,3 +182,40 @@
     scheduler.run()
     assert scheduler.has_failed
     assert len(faults) == 8
+
+
+def test_task_that_has_had_many_turns_goes_on_while_others_with_few_keep_coming() -> None:
+    """Guards against an order of turns by which a task with neither the fewest nor the most never goes on."""
+    now = 0
+    turns = 0
+    loop = Scheduler(lambda: now, pytest.fail)
+
+    def take_many_turns() -> None:
+        nonlocal turns
+        while turns < 2 * scheduler.TURN_LEVELS:
+            turns += 1
+            loop.yield_turn()
+        loop.is_stopped = True
+
+    def take_turns_without_end() -> None:
+        for _ in range(scheduler.TURN_LEVELS):  # so that it has had more than the other
+            loop.yield_turn()
+        loop.spawn(take_many_turns)
+        loop.spawn(use_up_a_round)
+        while not loop.is_stopped:
+            loop.yield_turn()
+
+    def use_up_a_round() -> None:
+        nonlocal now
+        loop.spawn(use_up_a_round)
+        loop.yield_turn()
+        now += scheduler.YIELDED_TURNS_US
+
+    def end_after_many_rounds() -> None:
+        if loop.rounds > 100 * scheduler.TURN_LEVELS:
+            loop.is_stopped = True
+
+    loop.after_round = end_after_many_rounds
+    loop.spawn(take_turns_without_end)
+    loop.run()
+    assert turns == 2 * scheduler.TURN_LEVELS
