Event loop: long tasks come to their end, the longest waiting has every eighth round

Cause: where the turn that every round has goes to whoever waits longest, all of hundreds of long tasks go on alike and none comes to its end, so that their places stay taken.

Change: it goes to one with the most turns again, and in every eighth round to the one that has waited longest.

--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -46,6 +46,7 @@
 VITAL_FAULT_WINDOW_US = 10_000_000
 LONG_ROUND_US = 100_000  # a round that took longer is reported
 TURN_US = 200  # how long a task reads and parses before others have their turn
+LONGEST_WAIT_ROUNDS = 8  # in each of so many, the task that has waited longest goes first
 TURN_LEVELS = 16  # tasks that have had fewer turns go first; those with this many or more are alike
 YIELDED_TURNS_US = 2_000  # time in each round for tasks that have yielded; at least one of them runs
 
@@ -324,11 +325,14 @@
         """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`.
 
         Those that have had few turns go first, so that a request of usual size does not wait for as many
-        turns of each that goes on for long. The one that has waited longest runs in any case.
+        turns of each that goes on for long. In any case one with the most turns runs,
+        so that long ones come to their end; in every `LONGEST_WAIT_ROUNDS`th, the one that has waited longest.
         """
         until_us = self.now() + YIELDED_TURNS_US
-        longest_waiting = min(filter(None, self.yielded), key=lambda level: level[0].yielded_round)
-        self._continue(longest_waiting.popleft())
+        waiting = [level for level in self.yielded if level]
+        is_longest_turn = self.rounds % LONGEST_WAIT_ROUNDS == 0
+        first = min(waiting, key=lambda level: level[0].yielded_round) if is_longest_turn else waiting[-1]
+        self._continue(first.popleft())
         for level in self.yielded:
             for _ in range(len(level)):
                 if self.is_stopped or self.now() >= until_us:
