--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -325,8 +325,8 @@
         """Continues tasks that yielded in an earlier round or in this one, for `YIELDED_TURNS_US`.
 
         Those that have had few turns go first, so that a request of usual size does not wait for as many
-        turns of each that goes on for long. In any case one with the most turns runs,
-        so that long ones come to their end; in every `LONGEST_WAIT_ROUNDS`th, the one that has waited longest.
+        turns of each that goes on for long. In any case one with the most turns runs, so that long ones come
+        to their end; once in `LONGEST_WAIT_ROUNDS`, the one that has waited longest.
         """
         until_us = self.now() + YIELDED_TURNS_US
         waiting = [level for level in self.yielded if level]
