Make room for a graver case, and share the small deployment

Cause: cases stand in the order of their gravity. Change: the case of the half line is review/8 now. The configuration of a small deployment moves into review/stand_ins_2.py, with what the next cases need.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -25,48 +24,6 @@
 ENDPOINTS = 10  # matdata-norr: 9 to 12 endpoints in the first tier
 
 
-def configuration(discovery: s2.Discovery) -> dict[str, Any]:
-    """Returns the configuration of the only sidecar."""
-    return {
-        "name": "n0",
-        "listen": f"127.0.0.1:{s2.free_port()}",
-        "discovery": discovery.address,
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": discovery.whole(),
-        "settings": {
-            "n_instances": 1,
-            "slot_no": 0,
-            "stage": 0,
-            "tiers": ["intag", "bearbetning", "lagring"],
-            "dcs": list(HALLS),
-            "zone": HALLS[0],
-            "round_us": 5000,
-            "membership_mode": "automatic",
-            "revenue_basis": "work",
-            "surplus_revenue": 0.05,
-            "profiles": [s2.request_class("las-serie", "safe", 1200, 3000)],
-            "tenants": [{"name": "acme", "allowance_per_s": 1000.0, "share": 1.0}],
-            "limits": {
-                "may_cancel": True,
-                "most_hops": 3,
-                "parallel_tries": False,
-                "retry_after": False,
-                "connect_timeout_us": 250_000,
-                "conn_idle_us": 10_000_000,
-            },
-            "contract": {
-                "cold_from": 0.15,
-                "warm_within_us": 24_000_000,
-                "fall_multiple": 2.5,
-                "fall_us": 1_000_000,
-                "stop_sending_within_us": 500_000,
-                "answer_slack_us": 20_000,
-            },
-        },
-    }
-
-
 async def answer(endpoint: s2.Endpoint, fields: dict[str, str], _: str) -> tuple[int, bytes]:
     """Serves a request after 60 ms."""
     await asyncio.sleep(0.06)
@@ -96,7 +53,7 @@
         endpoints.append(endpoint)
         entry = endpoint.entry(locality=hall, flavor="intag-std", cell=number // 4)
         discovery.members[endpoint.name] = entry
-    sidecar = s2.Sidecar(configuration(discovery), record)
+    sidecar = s2.Sidecar(s2.small_deployment(discovery, HALLS), record)
     foreign: list[str] = []
     statuses: dict[int, int] = {}
 
--- a/review/7/case.py
+++ b/review/8/case.py
@@ -23,48 +23,6 @@
 HALLS = ("hall-lulea", "hall-umea")
 
 
-def configuration(discovery: s2.Discovery) -> dict[str, Any]:
-    """Returns the configuration of the only sidecar."""
-    return {
-        "name": "n0",
-        "listen": f"127.0.0.1:{s2.free_port()}",
-        "discovery": discovery.address,
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": discovery.whole(),
-        "settings": {
-            "n_instances": 1,
-            "slot_no": 0,
-            "stage": 0,
-            "tiers": ["intag", "bearbetning", "lagring"],
-            "dcs": list(HALLS),
-            "zone": HALLS[0],
-            "round_us": 5000,
-            "membership_mode": "automatic",
-            "revenue_basis": "work",
-            "surplus_revenue": 0.05,
-            "profiles": [s2.request_class("las-serie", "safe", 1200, 3000)],
-            "tenants": [{"name": "acme", "allowance_per_s": 400.0, "share": 1.0}],
-            "limits": {
-                "may_cancel": True,
-                "most_hops": 3,
-                "parallel_tries": False,
-                "retry_after": False,
-                "connect_timeout_us": 250_000,
-                "conn_idle_us": 10_000_000,
-            },
-            "contract": {
-                "cold_from": 0.15,
-                "warm_within_us": 24_000_000,
-                "fall_multiple": 2.5,
-                "fall_us": 1_000_000,
-                "stop_sending_within_us": int(DRAIN_GRACE_S * 1e6),
-                "answer_slack_us": 20_000,
-            },
-        },
-    }
-
-
 async def answer(endpoint: s2.Endpoint, fields: dict[str, str], _: str) -> tuple[int, bytes]:
     """Serves a request."""
     await asyncio.sleep(0.02)
@@ -102,7 +60,7 @@
         await endpoint.start()
     listed, new = endpoints[:ENDPOINTS], endpoints[ENDPOINTS:]
     discovery.members = {e.name: entry(e, number) for number, e in enumerate(listed)}
-    sidecar = s2.Sidecar(configuration(discovery), record)
+    sidecar = s2.Sidecar(s2.small_deployment(discovery, HALLS), record)
     leaving = {e.name for e in listed[:REPLACED]}
     fell_silent: list[float] = []
 
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -72,6 +72,49 @@
     }
 
 
+def small_deployment(discovery: Discovery, halls: tuple[str, ...], **settings: Any) -> dict[str, Any]:
+    """Returns the configuration of the only sidecar, with the figures of matdata-norr."""
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": discovery.address,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": discovery.whole(),
+        "settings": {
+            "n_instances": 1,
+            "slot_no": 0,
+            "stage": 0,
+            "tiers": ["intag", "bearbetning", "lagring"],
+            "dcs": list(halls),
+            "zone": halls[0],
+            "round_us": 5000,
+            "membership_mode": "automatic",
+            "revenue_basis": "work",
+            "surplus_revenue": 0.05,
+            "profiles": [request_class("las-serie", "safe", 1200, 3000)],
+            "tenants": [{"name": "acme", "allowance_per_s": 1000.0, "share": 1.0}],
+            "limits": {
+                "may_cancel": True,
+                "most_hops": 3,
+                "parallel_tries": False,
+                "retry_after": False,
+                "connect_timeout_us": 250_000,
+                "conn_idle_us": 10_000_000,
+            },
+            "contract": {
+                "cold_from": 0.15,
+                "warm_within_us": 24_000_000,
+                "fall_multiple": 2.5,
+                "fall_us": 1_000_000,
+                "stop_sending_within_us": 500_000,
+                "answer_slack_us": 20_000,
+            },
+            **settings,
+        },
+    }
+
+
 class Sidecar:
     """One sidecar process, with its configuration and its temporary folder."""
 
@@ -190,6 +233,7 @@
     Attributes:
         on_line: Called before a line is written to a watch; returns how many of its bytes are written before
             the connection of that watch falls silent for good, or None if it is written as usual.
+        slow_s: How long each call waits for its answer.
     """
 
     def __init__(self, record: Record, host: str = "127.0.0.1") -> None:
@@ -201,6 +245,8 @@
         self.watches: set[asyncio.Queue[None]] = set()
         self.on_line: Callable[[bytes], int | None] = lambda _: None
         self.heartbeat_at = 0.0
+        self.slow_s = 0.0
+        self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
 
     @property
@@ -218,6 +264,11 @@
         if self.server is not None:
             self.server.close()
 
+    def close_all(self) -> None:
+        """Closes the open connections."""
+        for writer in self.writers:
+            writer.close()
+
     def change(self, entries: list[dict[str, Any]]) -> None:
         """Publishes entries, new or changed, as one revision."""
         self.revision += 1
@@ -238,11 +289,13 @@
         return {"revision": self.revision, "complete": False, "members": list(latest.values())}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 first, _ = await read_head(reader)
                 target = first.split()[1]
                 self.record.write(f"discovery asked: {target}")
+                await asyncio.sleep(self.slow_s)
                 if "watch=1" in target:
                     after = int(target.rpartition("after=")[2].split("&")[0])
                     await self._watch(writer, after)
@@ -292,6 +345,7 @@
 
     Attributes:
         arrivals: Each whole request, as its id, its arrival (monotonic seconds) and its connection's number.
+        began: When the head of each request had come, by its id.
         way_s: How long each byte takes from here to the sidecar, and back.
         repeats_after_s: Called with a request's id; after how long a second copy of its answer is written if
             no other request has come on the connection by then, or None.
@@ -303,6 +357,7 @@
         self.way_s = 0.0
         self.repeats_after_s: Callable[[str], float | None] = lambda _: None
         self.arrivals: list[tuple[str, float, int]] = []
+        self.began: dict[str, float] = {}
         self.connections = 0
         self.server: asyncio.Server | None = None
 
@@ -332,6 +387,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 first, fields = await read_head(reader)
+                self.began[fields.get("req-id", "")] = time.monotonic()
                 body = await read_body(reader, fields)
                 if self.way_s:
                     await asyncio.sleep(self.way_s)
