Show keyed requests run in two cells while half a line is waited for

Cause: the list that a silent watch withholds counts as told after 6 s; the sidecar goes by the old one for 9 s and takes new endpoints for those before.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -29,6 +29,7 @@
 READY_S = 20.0
 STOP_S = 6.0
 OK_STATUS = 200
+NOISE = b"\x16\x03\x01 no answer at all\r\n\r\n"
 
 
 class NotRunError(Exception):
@@ -346,6 +347,8 @@
     Attributes:
         arrivals: Each whole request, as its id, its arrival (monotonic seconds) and its connection's number.
         began: When the head of each request had come, by its id.
+        cell: The group of endpoints that drop one another's repeats.
+        spoils: Called with the id of a request that has run; whether noise comes in place of its answer.
         way_s: How long each byte takes from here to the sidecar, and back.
         repeats_after_s: Called with a request's id; after how long a second copy of its answer is written if
             no other request has come on the connection by then, or None.
@@ -358,14 +361,24 @@
         self.repeats_after_s: Callable[[str], float | None] = lambda _: None
         self.arrivals: list[tuple[str, float, int]] = []
         self.began: dict[str, float] = {}
+        self.cell = 0
+        self.spoils: Callable[[str], bool] = lambda _: False
+        self.writers: set[asyncio.StreamWriter] = set()
         self.connections = 0
         self.server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self.server = await asyncio.start_server(self._serve, self.host, 0)
+    async def start(self, port: int = 0) -> None:
+        """Listens on a port, or on a free one."""
+        self.server = await asyncio.start_server(self._serve, self.host, port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def die(self) -> None:
+        """Ends as a process that dies: its connections are reset, and new ones are refused."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Returns the entry of the endpoint list."""
         return {
@@ -373,7 +386,7 @@
             "host_port": f"{self.host}:{self.port}",
             "locality": "a",
             "flavor": "m2",
-            "cell": 1,
+            "cell": self.cell,
             "phase": "up",
             "size": 1.0,
             "up_since_ms": 0,
@@ -383,6 +396,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         number = self.connections
+        self.writers.add(writer)
         repeat: asyncio.Task[None] | None = None
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
@@ -396,6 +410,11 @@
                 request_id = fields.get("req-id", "")
                 self.arrivals.append((request_id, time.monotonic(), number))
                 status, answer = await self.handler(self, fields, first + "\n" + body.decode("latin-1"))
+                if self.spoils(request_id):
+                    self.record.write(f"{self.name} has run {request_id}, and spoils its answer")
+                    self._send(writer, NOISE)
+                    await reader.read()
+                    break
                 declined = b"srv-declined: 1\r\n" if status in (503, 504) else b""
                 head = b"HTTP/1.1 %d X\r\n%scontent-length: %d\r\n\r\n" % (status, declined, len(answer))
                 self._send(writer, head + answer)
@@ -404,6 +423,7 @@
                     repeat = asyncio.ensure_future(self._repeat(writer, head + answer, after_s, request_id))
         if repeat is not None:
             repeat.cancel()
+        self.writers.discard(writer)
         writer.close()
 
     def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
