--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,93 +1,62 @@
-"""A sidecar that starts again while discovery is slow sends work to endpoints that have begun to drain."""
+"""A new configuration names a slow discovery, and keyed requests run in two cells."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+import replaced_endpoints_2 as r2
 import stand_ins_2 as s2
 
-ENDPOINTS = 10  # matdata-norr: 9 to 12 endpoints in the first tier
-DRAINING = 3
-SLOW_S = 1.5  # what each call of discovery waits for its answer
-DOWN_S = 2.0  # between the kill and the next start
-DRAIN_GRACE_S = 0.5
-SLACK_S = 0.05
-CLIENTS = 8
-PLAY_S = 6.0
-HALLS = ("hall-lulea", "hall-umea")
-
-
-async def answer(endpoint: s2.Endpoint, fields: dict[str, str], _: str) -> tuple[int, bytes]:
-    """Serves a request."""
-    await asyncio.sleep(0.05)
-    return 200, f"{fields['req-id']} by {endpoint.name}".encode()
-
-
-async def load(address: str, prefix: str, record: s2.Record, until: float) -> None:
-    """Lets all clients send requests."""
-    clients = [s2.Client(address, record) for _ in range(CLIENTS)]
-    await asyncio.gather(*(ask(c, f"{prefix}{n:02x}", record, until) for n, c in enumerate(clients)))
-
-
-async def ask(client: s2.Client, prefix: str, record: s2.Record, until: float) -> None:
-    """Sends one request after another."""
-    turn = 0
-    while time.monotonic() < until:
-        request_id = f"{prefix}{turn:06x}"
-        status, body = await client.ask(request_id, "las-serie", 3.0)
-        record.write(f"{request_id} answered {status} {body.decode()}")
-        turn += 1
-        await asyncio.sleep(0.05)
-    client.close()
+ENDPOINTS = 12  # matdata-norr: 9 to 12 endpoints in the first tier
+SLOW_S = 2.5  # what each call of the new discovery waits for its answer
+OLD_CLOSES_S = 1.5  # after SIGHUP, the old discovery closes the open connections
+TOLD_S = 4.0  # after SIGHUP, what the new discovery has to tell counts as told
+CHANGE_S = 0.5  # after SIGHUP, endpoints are replaced
+CLIENTS = 24
+BEFORE_S, AFTER_S = 1.5, 8.0
 
 
 async def play(record: s2.Record) -> int:
     """Plays the case."""
-    discovery = s2.Discovery(record)
+    discovery, new = s2.Discovery(record), s2.Discovery(record)
     await discovery.start()
-    endpoints = [s2.Endpoint(f"s-{number:08x}", record, answer) for number in range(ENDPOINTS)]
-    for number, endpoint in enumerate(endpoints):
-        await endpoint.start()
-        entry = endpoint.entry(locality=HALLS[number % 2], flavor="intag-std", cell=number // 4)
-        discovery.members[endpoint.name] = entry
-    draining = endpoints[:DRAINING]
-    # `known` is the list as the sidecar has it before the kill.
-    sidecar = s2.Sidecar(s2.small_deployment(discovery, HALLS), record)
-    address = sidecar.configuration["listen"]
+    await new.start()
+    fleet = r2.Fleet(ENDPOINTS, discovery, record)
+    await fleet.start()
+    new.members, new.revision = dict(discovery.members), discovery.revision
+    new.slow_s = SLOW_S if s2.has_trouble() else 0.0
+    sidecar = s2.Sidecar(s2.small_deployment(discovery, r2.HALLS, profiles=r2.CLASSES), record)
     try:
-        first = sidecar.start()
+        process = sidecar.start()
         await sidecar.wait_ready()
-        await load(address, "a", record, time.monotonic() + 1.0)
-        first.kill()
-        first.wait()
-        record.write("sidecar killed")
-        await asyncio.sleep(DOWN_S / 2)
-        discovery.change([{**discovery.members[e.name], "phase": "draining"} for e in draining])
-        record.write(f"{DRAINING} endpoints drain, while the sidecar is down")
-        await asyncio.sleep(DOWN_S / 2)
-        discovery.slow_s = SLOW_S if s2.has_trouble() else 0.0
-        told = time.monotonic()
-        sidecar.start()
-        await sidecar.wait_ready()
-        record.write("sidecar is ready again")
-        await load(address, "b", record, time.monotonic() + PLAY_S)
+        until = time.monotonic() + BEFORE_S + AFTER_S
+        running = asyncio.ensure_future(r2.load(sidecar.configuration["listen"], CLIENTS, "k", record, until))
+        await asyncio.sleep(BEFORE_S)
+        sidecar.configuration["discovery"] = new.address
+        sidecar.write_configuration()
+        process.send_signal(signal.SIGHUP)
+        told = time.monotonic() + TOLD_S
+        record.write("SIGHUP: discovery is at another address")
+        discovery.stop()
+        await asyncio.sleep(CHANGE_S)
+        await fleet.replace(new)
+        await asyncio.sleep(OLD_CLOSES_S - CHANGE_S)
+        discovery.close_all()
+        await running
+        if process.poll() is not None:
+            record.write("the sidecar has ended")
+            return s2.BROKEN
     finally:
         sidecar.stop()
+        new.stop()
         discovery.stop()
-    late = 0
-    for endpoint in draining:
-        for request_id, arrived, _ in endpoint.arrivals:
-            if arrived > told + DRAIN_GRACE_S + SLACK_S:
-                late += 1
-                after = f"{arrived - told:.3f} s after the start"
-                record.write(f"late: {request_id} sent to draining {endpoint.name} {after}")
-    record.write(f"{late} requests sent to draining endpoints after the grace")
-    return s2.BROKEN if late else s2.HELD
+    return s2.BROKEN if fleet.runs_in_two_cells(told) else s2.HELD
 
 
 if __name__ == "__main__":
