Log how old the endpoint list in use is, and what confirmed it last

Change: the watch records when discovery last confirmed the list (complete list, changes, empty line) and `watch_ended` says the list's age and what confirmed it. No decision changes.

--- a/cressrail/discovery/watch_lines.py
+++ b/cressrail/discovery/watch_lines.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.text = bytearray()
         self.line_count = 0
+        self._heartbeats = 0  # empty lines between documents
         self._lines_of_object: list[bytes] = []  # lines of an indented object that is still incomplete
         self._depth = 0  # number of braces that are open in these lines
 
@@ -50,8 +51,15 @@
                 documents += self._add_line(line)
             elif self._lines_of_object:
                 raise MalformedEndpointListError("empty line inside a JSON object of the endpoint list watch")
+            else:
+                self._heartbeats += 1
         return documents
 
+    def take_heartbeats(self) -> int:
+        """Returns the number of empty lines between documents since the last call."""
+        count, self._heartbeats = self._heartbeats, 0
+        return count
+
     def _add_line(self, line: bytes) -> list[bytes]:
         """Adds a line; returns the document that it completes, or an empty list if it completes none."""
         self._lines_of_object.append(line)
--- a/cressrail/network/discovery_watch.py
+++ b/cressrail/network/discovery_watch.py
@@ -162,6 +162,8 @@
                     until_us = self.dispatcher.now() + SILENCE_TIMEOUT_US
                 for document in lines.take_documents():
                     self._report(parse_update_line(document))
+                if lines.take_heartbeats():
+                    self.dispatcher.state_machine.on_list_unchanged(self.dispatcher.now())
 
     def _report(self, update: EndpointListUpdate) -> None:
         dispatcher = self.dispatcher
--- a/cressrail/proxy/endpoint_list.py
+++ b/cressrail/proxy/endpoint_list.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from enum import Enum
+from typing import Any
+
 from cressrail.discovery.endpoint_list import EndpointListUpdate
 from cressrail.policy.random_generator import RandomGenerator
 from cressrail.proxy.commands import WatchEndpoints
@@ -17,10 +20,21 @@
 COMPLETE_LIST = -1  # in place of a revision: asks discovery to send the complete list first
 
 
+class Confirmation(Enum):
+    """What has last shown that the endpoint list in use is discovery's own."""
+
+    NONE = "none"  # the list is the configured one, or the predecessor's
+    COMPLETE_LIST = "complete_list"
+    CHANGES = "changes"  # a line of the watch with changes, or with none
+    EMPTY_LINE = "empty_line"  # discovery's heartbeat
+
+
 class EndpointListWatch:
     """Owns the revision of the endpoint list and the retries of the watch on it.
 
     Attributes:
+        confirmed_us: When discovery last confirmed the list in use; the start before it has.
+        confirmed_by: What confirmed it then.
         discovery: Host and port of discovery.
         revision: Revision of the list that this process holds.
         has_list: Whether discovery has sent a list since the start.
@@ -36,6 +50,8 @@
         random: RandomGenerator,
     ) -> None:
         self.started_us = now_us
+        self.confirmed_us = now_us
+        self.confirmed_by = Confirmation.NONE
         self.discovery = discovery
         self.drain_notice_us = drain_notice_us
         self.registry = registry
@@ -57,7 +73,16 @@
         self.revision = revision
         return self.open(now_us)
 
-    def accept(self, update: EndpointListUpdate) -> bool:
+    def confirm(self, now_us: int, confirmation: Confirmation) -> None:
+        """Records that the list in use is discovery's own at this time."""
+        self.confirmed_us = now_us
+        self.confirmed_by = confirmation
+
+    def age_fields(self, now_us: int) -> dict[str, Any]:
+        """Returns the fields of a log event that tell how old the list in use is, and what confirmed it."""
+        return {"list_age_us": now_us - self.confirmed_us, "confirmed_by": self.confirmed_by.value}
+
+    def accept(self, now_us: int, update: EndpointListUpdate) -> bool:
         """Returns whether to apply an update: partial updates older than the revision held are rejected.
 
         An older revision means that discovery has restarted its count. The next watch then asks for the
@@ -70,6 +95,7 @@
             return False
         self.needs_complete_list = self.needs_complete_list and not update.is_complete
         self.revision = update.revision
+        self.confirm(now_us, Confirmation.COMPLETE_LIST if update.is_complete else Confirmation.CHANGES)
         return True
 
     def open_after_old_revision(self, now_us: int) -> WatchEndpoints:
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -22,7 +22,7 @@
 from cressrail.proxy.commands import Command, LogEvent
 from cressrail.proxy.connection_limits import ConnectionLimits
 from cressrail.proxy.endpoint_connections import EndpointConnections
-from cressrail.proxy.endpoint_list import EndpointListWatch
+from cressrail.proxy.endpoint_list import Confirmation, EndpointListWatch
 from cressrail.proxy.endpoint_registry import EndpointRegistry
 from cressrail.proxy.forwarding import RequestForwarder
 from cressrail.proxy.id_sequence import IdSequence
@@ -124,7 +124,7 @@
             for fault in update.errors[:LOGGED_FAULTS]
         ]
         is_first, held_revision = not self.endpoint_watch.has_list, self.endpoint_watch.revision
-        if not self.endpoint_watch.accept(update):
+        if not self.endpoint_watch.accept(now_us, update):
             fields: dict[str, Any] = {"revision": update.revision, "older_than": held_revision}
             watch = self.endpoint_watch.open_after_old_revision(now_us)
             return [*out, LogEvent(events.ENDPOINT_LIST_UPDATED, fields), watch]
@@ -138,11 +138,16 @@
             self.attempts.forget_if_removed(endpoint)
         return self._complete(now_us, out)
 
+    def on_list_unchanged(self, now_us: int) -> None:
+        """Handles discovery's heartbeat on the watch: the list in use is still its own."""
+        self.endpoint_watch.confirm(now_us, Confirmation.EMPTY_LINE)
+
     def on_watch_ended(self, now_us: int, reason: str) -> list[Command]:
         """Handles the end of the watch on the endpoint list; reopens it after a delay."""
         self.load_balancer.on_list_failed(now_us)
+        age = self.endpoint_watch.age_fields(now_us)
         delay_us = self.endpoint_watch.retry_delay_us(now_us)
-        log_event = LogEvent(events.WATCH_ENDED, {"reason": reason, "retry_in_us": delay_us})
+        log_event = LogEvent(events.WATCH_ENDED, {"reason": reason, "retry_in_us": delay_us, **age})
         return self._complete(now_us, [log_event, self.endpoint_watch.open(now_us + delay_us)])
 
     def on_discovery_address(self, now_us: int, discovery: tuple[str, int]) -> list[Command]:
--- a/tests/logs/test_event_pages.py
+++ b/tests/logs/test_event_pages.py
@@ -31,7 +31,17 @@
 IDENTIFIER = re.compile(r"[a-z]+(?:_[a-z]+)*")
 # Other identifiers that the prose of the pages mentions, besides events, their fields and outcomes.
 LINE_FIELDS = {"at_us", "sidecar", "event"}
-FIELD_VALUES = {"endpoints", "stranger", "replayed", "away", "reduced"}
+FIELD_VALUES = {
+    "changes",
+    "complete_list",
+    "empty_line",
+    "none",
+    "endpoints",
+    "stranger",
+    "replayed",
+    "away",
+    "reduced",
+}
 SETTINGS = {"name", "ops"}
 COUNTERS = {
     "app_cluster_size",
--- a/tests/proxy/test_endpoint_list.py
+++ b/tests/proxy/test_endpoint_list.py
@@ -32,3 +32,21 @@
     assert watch.at_us > 0  # a delay, since an immediate retry could loop without pause
     driver.state_machine.on_endpoint_list(0, list_update(3, True))
     assert driver.state_machine.endpoint_watch.revision == 3
+
+
+def test_log_says_how_old_the_list_in_use_is_and_what_confirmed_it() -> None:
+    driver = ProxyDriver()
+
+    def age_at_end_of_watch(now_us: int) -> tuple[int, str]:
+        driver.commands = driver.state_machine.on_watch_ended(now_us, "ended")
+        [log_event] = driver.take_commands(commands.LogEvent)
+        return log_event.fields["list_age_us"], log_event.fields["confirmed_by"]
+
+    assert age_at_end_of_watch(SECOND) == (SECOND, "none")
+    driver.state_machine.on_endpoint_list(SECOND, list_update(9, True))
+    assert age_at_end_of_watch(2 * SECOND) == (SECOND, "complete_list")
+    driver.state_machine.on_list_unchanged(3 * SECOND)
+    assert age_at_end_of_watch(3 * SECOND) == (0, "empty_line")
+    driver.state_machine.on_endpoint_list(4 * SECOND, list_update(10, False))
+    driver.state_machine.on_endpoint_list(5 * SECOND, list_update(3, False))  # older: not applied
+    assert age_at_end_of_watch(6 * SECOND) == (2 * SECOND, "changes")
