Discovery: a silent watch is waited for by its bytes, with a call begun beside it

Cause: the time limit for a line grew with the part of it that had come (2,000 bytes a second), although no further byte came; 100 kB would have been waited for for 54 s.

Change: a watch is a call with a task of its own. 4 s without a byte end it; the limit by length stays for lines that come slowly, up to that silence. After 2.4 to 2.75 s with neither a line nor 4 KiB of one, a call is begun beside it, at most three at once; the one that delivers a line goes on alone, so what is nearly there is not thrown away. An answer that was asked for before the list in use came, and is older, is left out.

The test of the dispatcher now knows the messages of calls; the test of the budget has the new waits and the same limits of 6 and 4 s.

--- a/cressrail/network/discovery_watch.py
+++ b/cressrail/network/discovery_watch.py
@@ -1,170 +1,132 @@
-"""The watch on discovery: reads updates of the endpoint list, and is reopened when it ends."""
+"""The watch on discovery: begins calls, and a further one beside those that make no progress."""
 
 from __future__ import annotations
 
-from typing import Any
-
-from cressrail.buffers.pool import BufferPoolExhaustedError
-from cressrail.discovery.endpoint_list import (
-    EndpointListUpdate,
-    MalformedEndpointListError,
-    parse_update_line,
-)
-from cressrail.discovery.watch_lines import WatchLines, WholeDocument
-from cressrail.event_loop.scheduler import MESSAGE, READABLE
-from cressrail.http1.errors import MalformedMessageError
-from cressrail.http1.response import ResponseReader
+from typing import NamedTuple
+
+from cressrail.event_loop.scheduler import NEVER, Task
+from cressrail.network.discovery_call import HEARTBEAT_US, CallEnded, CallEvents, DiscoveryCall
 from cressrail.network.dispatcher import CommandDispatcher
-from cressrail.network.socket_stream import SocketStream, StreamInterruptedError, StreamTimeoutError
 from cressrail.proxy.commands import WatchEndpoints
 
-HEARTBEAT_US = 2_000_000  # interval at which discovery sends an empty line if there is no update
-SILENCE_TIMEOUT_US = 2 * HEARTBEAT_US  # time limit for the next complete line
-FIRST_ANSWER_TIMEOUT_US = HEARTBEAT_US // 2  # doubled with each consecutive watch without an update
-MAX_TIMEOUT_DOUBLINGS = 2
-MIN_LINE_BYTES_PER_S = 2_000  # a partly received line extends the time limit at this rate
-UNLIMITED_BODY_BYTES = 1 << 62
-LIST_PATH = "/catalog/members"
-OK = 200
-US_PER_S = 1_000_000
-NO_STATUS_YET = 0
+MAX_OPEN_CALLS = 3
+CALL_BESIDE_US = HEARTBEAT_US // 2  # wait for progress before a call is begun beside another; then doubled
+MISSED_HEARTBEAT_US = HEARTBEAT_US + HEARTBEAT_US * 3 // 8  # the same on a watch that has sent a line
+JITTER_DIVISOR = 8  # these waits are shorter by up to this part, so that sidecars do not call all at once
+
+
+class CallDueEarlier(NamedTuple):
+    """The message that the next call is due earlier than when the watch task fell asleep."""
 
 
 class DiscoveryWatchTask:
-    """Runs the watch that the most recent `WatchEndpoints` command describes."""
+    """Keeps a watch on discovery open as the most recent `WatchEndpoints` command describes.
+
+    A call that makes no progress is not given up for a second one: that one is begun beside it, and whichever
+    first delivers a line of the watch goes on alone. So a slow answer that is nearly there is not lost, and a
+    connection that has fallen silent delays the list by the wait for the next call only.
+    """
 
     def __init__(self, dispatcher: CommandDispatcher) -> None:
         self.dispatcher = dispatcher
-        self._is_watching = False
+        self._calls: list[DiscoveryCall] = []
+        self._live_call: DiscoveryCall | None = None  # the one that delivered the last line of the watch
+        self._retry_us = NEVER  # when the next call is due by command
+        self._beside_us = NEVER  # when a call is due beside those that are open
+        self._opened_since_progress = 0
+        self._has_begun = False
+        self._task: Task | None = None
+        self._sleeps_until_us = NEVER
+        self._events = CallEvents(self._on_progress, self._on_list, self._on_line)
 
     def run(self) -> None:
         """Runs for the lifetime of the process; the scheduler restarts it after an unhandled exception."""
-        dispatcher = self.dispatcher
-        messages = dispatcher.scheduler.current_task().messages
-        if self._is_watching:  # an unhandled exception ended the watch
+        scheduler = self.dispatcher.scheduler
+        task = self._task = scheduler.current_task()
+        if self._has_begun and not self._calls and self._retry_us == NEVER:
             self._report_end("unhandled exception in the discovery watch")
         while True:
-            command = self._next_command(messages)
-            self._is_watching = True
-            reason = self._watch(command, messages)
-            if reason is not None:
-                self._report_end(reason)
-
-    def _next_command(self, messages: Any) -> WatchEndpoints:
-        """Waits for a command and then until it is due; a later command replaces an earlier one."""
-        scheduler = self.dispatcher.scheduler
-        while not messages:
-            scheduler.wait()
-        command: WatchEndpoints = messages.popleft()
-        while scheduler.wait(until_us=command.at_us) == MESSAGE:
-            command = messages.popleft()
-        return command
+            self._sleeps_until_us = self._next_call_us()
+            scheduler.wait(until_us=self._sleeps_until_us)
+            while task.messages:
+                self._accept(task.messages.popleft())
+            if self.dispatcher.now() >= self._next_call_us():
+                self._open_call(task)
+
+    def _accept(self, message: WatchEndpoints | CallEnded | CallDueEarlier) -> None:
+        if isinstance(message, CallEnded):
+            self._on_ended(message)
+        elif isinstance(message, WatchEndpoints):
+            if message.replaces_calls:
+                self._stop_calls(self._calls)
+            self._retry_us = message.at_us
+
+    def _next_call_us(self) -> int:
+        if self._calls and self._live_call is None:  # a call is waited for until it is given up
+            return NEVER
+        if len(self._calls) >= MAX_OPEN_CALLS:
+            return NEVER
+        return min(self._retry_us, self._beside_us) if self._calls else self._retry_us
+
+    def _open_call(self, task: Task) -> None:
+        self._has_begun = True
+        now_us = self.dispatcher.now()
+        command = self.dispatcher.state_machine.next_watch_call(now_us)
+        self._retry_us = NEVER
+        self._opened_since_progress += 1
+        self._calls.append(DiscoveryCall(self.dispatcher, command, task, self._events))
+        self._schedule_call_beside(now_us)
+
+    def _schedule_call_beside(self, now_us: int) -> None:
+        wait_us = CALL_BESIDE_US << max(0, self._opened_since_progress - 1)
+        if not self._opened_since_progress and self._live_call is not None:
+            wait_us = MISSED_HEARTBEAT_US
+        jitter_us = self.dispatcher.state_machine.endpoint_watch.random.below(wait_us // JITTER_DIVISOR)
+        self._beside_us = now_us + wait_us - jitter_us
+
+    def _stop_calls(self, calls: list[DiscoveryCall]) -> None:
+        """Ends calls that are not needed any more; their end is not reported."""
+        for call in list(calls):
+            self._calls.remove(call)
+            call.stop()
+        if self._live_call not in self._calls:
+            self._live_call = None
+
+    # Reports of calls
+
+    def _on_progress(self, call: DiscoveryCall) -> None:
+        if call in self._calls:
+            self._opened_since_progress = 0
+            self._schedule_call_beside(self.dispatcher.now())
+            if self._next_call_us() < self._sleeps_until_us and self._task is not None:
+                self.dispatcher.scheduler.post(self._task, CallDueEarlier())
+
+    def _on_list(self, call: DiscoveryCall) -> None:
+        """Ends the earlier calls for the complete list, which could only deliver an older one."""
+        if call not in self._calls:
+            return
+        earlier = self._calls[: self._calls.index(call)]
+        self._stop_calls([other for other in earlier if other.awaits_complete_list])
+        self._on_progress(call)
+
+    def _on_line(self, call: DiscoveryCall) -> None:
+        """Goes on with the call that has delivered a line, alone."""
+        if call not in self._calls:
+            return
+        self._stop_calls([other for other in self._calls if other is not call])
+        self._live_call = call
+        self._retry_us = NEVER
+        self._on_progress(call)
+
+    def _on_ended(self, message: CallEnded) -> None:
+        if message.call not in self._calls:  # it was not needed any more
+            return
+        self._calls.remove(message.call)
+        if message.call is self._live_call:
+            self._live_call = None
+        self._report_end(message.reason)
 
     def _report_end(self, reason: str) -> None:
         dispatcher = self.dispatcher
-        dispatcher.dispatch(dispatcher.state_machine.on_watch_ended(dispatcher.now(), reason))
-
-    def _watch(self, command: WatchEndpoints, messages: Any) -> str | None:
-        """Watches until the watch ends; returns the reason, or None if another command was received."""
-        stream: SocketStream | None = None
-        doublings = min(command.consecutive_failures, MAX_TIMEOUT_DOUBLINGS)
-        answer_timeout_us = min(SILENCE_TIMEOUT_US, FIRST_ANSWER_TIMEOUT_US << doublings)
-        try:
-            # One time limit covers connecting, the request and the first answer: updates must not be late.
-            until_us = self.dispatcher.now() + answer_timeout_us
-            stream = self._connect(command, until_us)
-            after_revision = command.after_revision
-            if after_revision < 0:
-                after_revision = self._read_whole_list(command, stream, until_us, messages)
-                until_us = self.dispatcher.now() + answer_timeout_us
-            self._request(stream, command.source, f"?watch=1&after={after_revision}", until_us)
-            self._read_updates(stream, WatchLines(), 0, until_us, messages)
-        except StreamInterruptedError:
-            return None
-        except StreamTimeoutError:
-            return "discovery timed out: no connection or no complete line before the time limit"
-        except BufferPoolExhaustedError:  # waiting for a buffer could delay the news of a draining endpoint
-            return "buffer pool exhausted while reading from discovery"
-        except (OSError, MalformedMessageError, MalformedEndpointListError) as error:
-            return str(error) or "connection to discovery failed"
-        finally:
-            if stream is not None:
-                stream.close()
-        return "discovery ended the response to the watch"
-
-    def _connect(self, command: WatchEndpoints, until_us: int) -> SocketStream:
-        dispatcher = self.dispatcher
-        host, port = command.source
-        until_us = min(until_us, dispatcher.now() + dispatcher.connect_timeout_us)
-        return SocketStream.connect(
-            dispatcher.scheduler, dispatcher.pool, host, port, until_us, wakes_on_message=True
-        )
-
-    def _request(self, stream: SocketStream, source: tuple[str, int], query: str, until_us: int) -> None:
-        request = (
-            f"GET {LIST_PATH}{query} HTTP/1.1\r\n"
-            f"host: {source[0]}:{source[1]}\r\naccept: application/json\r\n\r\n"
-        )
-        stream.send([memoryview(request.encode())], until_us)
-
-    def _read_whole_list(
-        self, command: WatchEndpoints, stream: SocketStream, until_us: int, messages: Any
-    ) -> int:
-        """Requests the complete endpoint list and reports it; returns its revision."""
-        self._request(stream, command.source, "", until_us)
-        document = WholeDocument()
-        self._read_updates(stream, document, -1, until_us, messages)
-        update = parse_update_line(bytes(document.text))
-        if not update.is_complete:
-            raise MalformedEndpointListError("discovery sent a partial update instead of the complete list")
-        self._report(update)
-        return update.revision
-
-    def _read_updates(
-        self, stream: SocketStream, lines: WatchLines, lines_before: int, until_us: int, messages: Any
-    ) -> None:
-        """Reads a response to its end and reports each complete document in it.
-
-        After the first progress, each complete line must follow within `SILENCE_TIMEOUT_US`. A partial line
-        does not count as progress; it only extends the time limit, as set by `MIN_LINE_BYTES_PER_S`.
-
-        Args:
-            stream: The connection to discovery.
-            lines: Receives the body and splits it into lines and documents.
-            lines_before: The number of lines beyond which progress is counted: -1 if the head of the response
-                already counts as progress, 0 if the first complete line does.
-            until_us: The time by which the first progress must be made, in microseconds.
-            messages: The mailbox of this task.
-
-        Raises:
-            StreamTimeoutError: Discovery made no progress in time.
-            StreamInterruptedError: Another command was received.
-            MalformedMessageError: The response is malformed or truncated.
-            MalformedEndpointListError: The status is not 200, or a document is malformed.
-        """
-        reader = ResponseReader(lines, UNLIMITED_BODY_BYTES)
-        line_count = lines_before
-        while not reader.is_complete:
-            if messages:  # updates from an address that is no longer watched are ignored
-                raise StreamInterruptedError
-            count = stream.receive()
-            if count == 0:
-                reader.on_connection_closed()
-            elif count < 0:
-                time_for_length_us = len(lines.text) * US_PER_S // MIN_LINE_BYTES_PER_S
-                stream.wait(READABLE, until_us + time_for_length_us, wakes_on_message=True)
-            else:
-                stream.feed_to(reader.feed)
-                if reader.status not in (NO_STATUS_YET, OK):
-                    raise MalformedEndpointListError(f"discovery responded with status {reader.status}")
-                if reader.has_head and lines.line_count > line_count:
-                    line_count = lines.line_count
-                    until_us = self.dispatcher.now() + SILENCE_TIMEOUT_US
-                for document in lines.take_documents():
-                    self._report(parse_update_line(document))
-                if lines.take_heartbeats():
-                    self.dispatcher.state_machine.on_list_unchanged(self.dispatcher.now())
-
-    def _report(self, update: EndpointListUpdate) -> None:
-        dispatcher = self.dispatcher
-        dispatcher.dispatch(dispatcher.state_machine.on_endpoint_list(dispatcher.now(), update))
+        commands = dispatcher.state_machine.on_watch_ended(dispatcher.now(), reason, len(self._calls))
+        dispatcher.dispatch(commands)
--- a/cressrail/proxy/commands.py
+++ b/cressrail/proxy/commands.py
@@ -100,19 +100,19 @@
 
 
 class WatchEndpoints(NamedTuple):
-    """Open the watch on discovery's endpoint list.
+    """Call discovery for the watch on its endpoint list.
 
     Attributes:
         after_revision: Revision after which discovery sends changes; -1 to receive the complete list first.
-        at_us: Time at which to open the watch.
+        at_us: Time at which to begin the call.
         source: Host and port of discovery.
-        consecutive_failures: Number of watches in a row that ended without an update.
+        replaces_calls: Whether calls that are open are ended first.
     """
 
     after_revision: int
     at_us: int
     source: tuple[str, int]
-    consecutive_failures: int = 0
+    replaces_calls: bool = False
 
 
 class SetTimer(NamedTuple):
--- a/cressrail/proxy/endpoint_list.py
+++ b/cressrail/proxy/endpoint_list.py
@@ -29,12 +29,21 @@
     EMPTY_LINE = "empty_line"  # discovery's heartbeat
 
 
+class Acceptance(Enum):
+    """What becomes of an update of the endpoint list."""
+
+    APPLIED = "applied"
+    OUTDATED = "outdated"  # a slower call's answer, older than the list held
+    REVISIONS_RESTARTED = "revisions restarted"  # the complete list has to be asked for
+
+
 class EndpointListWatch:
     """Owns the revision of the endpoint list and the retries of the watch on it.
 
     Attributes:
         confirmed_us: When discovery last confirmed the list in use; the start before it has.
         confirmed_by: What confirmed it then.
+        received_us: When the last update that was applied was received; the start before there was one.
         discovery: Host and port of discovery.
         revision: Revision of the list that this process holds.
         has_list: Whether discovery has sent a list since the start.
@@ -50,7 +59,7 @@
         random: RandomGenerator,
     ) -> None:
         self.started_us = now_us
-        self.confirmed_us = now_us
+        self.confirmed_us = self.received_us = now_us
         self.confirmed_by = Confirmation.NONE
         self.discovery = discovery
         self.drain_notice_us = drain_notice_us
@@ -62,11 +71,15 @@
         self.opened_us = now_us
         self.needs_complete_list = True  # the known list may come from a source with other revisions
 
-    def open(self, at_us: int) -> WatchEndpoints:
+    def open(self, at_us: int, replaces_calls: bool = False) -> WatchEndpoints:
         """Returns the command to open the watch at `at_us`."""
         self.opened_us = at_us
+        return self.call(at_us)._replace(replaces_calls=replaces_calls)
+
+    def call(self, at_us: int) -> WatchEndpoints:
+        """Returns the command for a call at `at_us` that continues from the list held."""
         revision = COMPLETE_LIST if self.needs_complete_list else self.revision
-        return WatchEndpoints(revision, at_us, self.discovery, self.consecutive_failures)
+        return WatchEndpoints(revision, at_us, self.discovery)
 
     def start(self, now_us: int, revision: int) -> WatchEndpoints:
         """Opens the first watch; `revision` is the revision of the list known at the start."""
@@ -75,32 +88,42 @@
 
     def confirm(self, now_us: int, confirmation: Confirmation) -> None:
         """Records that the list in use is discovery's own at this time."""
-        self.confirmed_us = now_us
+        self.confirmed_us = max(self.confirmed_us, now_us)
         self.confirmed_by = confirmation
 
     def age_fields(self, now_us: int) -> dict[str, Any]:
         """Returns the fields of a log event that tell how old the list in use is, and what confirmed it."""
         return {"list_age_us": now_us - self.confirmed_us, "confirmed_by": self.confirmed_by.value}
 
-    def accept(self, now_us: int, update: EndpointListUpdate) -> bool:
-        """Returns whether to apply an update: partial updates older than the revision held are rejected.
+    def accept(self, now_us: int, update: EndpointListUpdate, asked_us: int) -> Acceptance:
+        """Decides whether to apply an update.
+
+        An older revision than the one held means that discovery has restarted its count. The next watch then
+        asks for the complete list: otherwise drains would be missed until discovery's revision exceeds the
+        one held. But what was asked for before the list held was received is only a slower answer.
 
-        An older revision means that discovery has restarted its count. The next watch then asks for the
-        complete list: otherwise drains would be missed until discovery's revision exceeds the one held.
+        Args:
+            now_us: The current time.
+            update: The update.
+            asked_us: When it was asked for; its news may be as old as that.
         """
         self.consecutive_failures = 0
+        is_older = self.has_list and update.revision < self.revision
+        if is_older and asked_us < self.received_us:
+            return Acceptance.OUTDATED
         self.has_list = True
-        if not update.is_complete and not self.needs_complete_list and update.revision < self.revision:
+        if is_older and not update.is_complete and not self.needs_complete_list:
             self.needs_complete_list = True
-            return False
+            return Acceptance.REVISIONS_RESTARTED
         self.needs_complete_list = self.needs_complete_list and not update.is_complete
         self.revision = update.revision
-        self.confirm(now_us, Confirmation.COMPLETE_LIST if update.is_complete else Confirmation.CHANGES)
-        return True
+        self.received_us = now_us
+        self.confirm(asked_us, Confirmation.COMPLETE_LIST if update.is_complete else Confirmation.CHANGES)
+        return Acceptance.APPLIED
 
     def open_after_old_revision(self, now_us: int) -> WatchEndpoints:
         """Reopens the watch after a delay, since discovery might keep sending old revisions."""
-        return self.open(now_us + WATCH_RETRY_US)
+        return self.open(now_us + WATCH_RETRY_US, replaces_calls=True)
 
     def retry_delay_us(self, now_us: int) -> int:
         """Counts a watch that has ended; returns the randomized exponential backoff before the next one.
@@ -126,7 +149,7 @@
         self.discovery = discovery
         self.needs_complete_list = True
         self.consecutive_failures = 0
-        return [self.open(now_us)]
+        return [self.open(now_us, replaces_calls=True)]
 
     def is_list_wait_over(self, now_us: int) -> bool:
         """Returns whether the wait for discovery's first list has ended, with or without a list."""
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -22,7 +22,7 @@
 from cressrail.proxy.commands import Command, LogEvent
 from cressrail.proxy.connection_limits import ConnectionLimits
 from cressrail.proxy.endpoint_connections import EndpointConnections
-from cressrail.proxy.endpoint_list import Confirmation, EndpointListWatch
+from cressrail.proxy.endpoint_list import Acceptance, Confirmation, EndpointListWatch
 from cressrail.proxy.endpoint_registry import EndpointRegistry
 from cressrail.proxy.forwarding import RequestForwarder
 from cressrail.proxy.id_sequence import IdSequence
@@ -117,14 +117,25 @@
         self.load_balancer.update_endpoints(now_us, updates, is_complete=True, is_poll_answer=False)
         return self._complete(now_us, [self.endpoint_watch.start(now_us, known.revision)])
 
-    def on_endpoint_list(self, now_us: int, update: EndpointListUpdate) -> list[Command]:
-        """Handles a complete or partial update of the endpoint list from discovery."""
+    def on_endpoint_list(
+        self, now_us: int, update: EndpointListUpdate, asked_us: int | None = None
+    ) -> list[Command]:
+        """Handles a complete or partial update of the endpoint list from discovery.
+
+        Args:
+            now_us: The current time.
+            update: The update.
+            asked_us: When it was asked for, so that its news may be as old as that; None: it is new.
+        """
         out: list[Command] = [
             LogEvent(events.MALFORMED_MESSAGE, {"from": "discovery", "reason": fault})
             for fault in update.errors[:LOGGED_FAULTS]
         ]
         is_first, held_revision = not self.endpoint_watch.has_list, self.endpoint_watch.revision
-        if not self.endpoint_watch.accept(now_us, update):
+        acceptance = self.endpoint_watch.accept(now_us, update, now_us if asked_us is None else asked_us)
+        if acceptance is Acceptance.OUTDATED:
+            return out
+        if acceptance is Acceptance.REVISIONS_RESTARTED:
             fields: dict[str, Any] = {"revision": update.revision, "older_than": held_revision}
             watch = self.endpoint_watch.open_after_old_revision(now_us)
             return [*out, LogEvent(events.ENDPOINT_LIST_UPDATED, fields), watch]
@@ -142,12 +153,24 @@
         """Handles discovery's heartbeat on the watch: the list in use is still its own."""
         self.endpoint_watch.confirm(now_us, Confirmation.EMPTY_LINE)
 
-    def on_watch_ended(self, now_us: int, reason: str) -> list[Command]:
-        """Handles the end of the watch on the endpoint list; reopens it after a delay."""
-        self.load_balancer.on_list_failed(now_us)
+    def next_watch_call(self, now_us: int) -> commands.WatchEndpoints:
+        """Returns the command for a call to discovery that begins now."""
+        return self.endpoint_watch.call(now_us)
+
+    def on_watch_ended(self, now_us: int, reason: str, open_calls: int = 0) -> list[Command]:
+        """Handles the end of a call for the watch on the endpoint list; has another begun after a delay.
+
+        Args:
+            now_us: The current time.
+            reason: Why the call ended, for the log.
+            open_calls: Number of other calls that are still open.
+        """
+        if not open_calls:
+            self.load_balancer.on_list_failed(now_us)
         age = self.endpoint_watch.age_fields(now_us)
         delay_us = self.endpoint_watch.retry_delay_us(now_us)
-        log_event = LogEvent(events.WATCH_ENDED, {"reason": reason, "retry_in_us": delay_us, **age})
+        fields = {"reason": reason, "retry_in_us": delay_us, "open_calls": open_calls, **age}
+        log_event = LogEvent(events.WATCH_ENDED, fields)
         return self._complete(now_us, [log_event, self.endpoint_watch.open(now_us + delay_us)])
 
     def on_discovery_address(self, now_us: int, discovery: tuple[str, int]) -> list[Command]:
--- /dev/null
+++ b/tests/network/test_discovery_calls.py
@@ -0,0 +1,125 @@
+"""When the endpoint list comes, with a discovery that falls silent, is slow, or refuses, in real time."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from contextlib import suppress
+
+import pytest
+
+from tests.network.support import RecordingEndpoint
+from tests.support.configuration import SECOND
+from tests.support.http_messages import CHUNKED_HEADER, OK_STATUS_LINE, chunk_bytes, response_bytes
+from tests.support.scripted_peer import ScriptedPeer
+from tests.support.sidecar_harness import SidecarHarness
+
+WATCH_HEAD = OK_STATUS_LINE + CHUNKED_HEADER
+EMPTY_LINE = chunk_bytes(b"\n")
+TOLD_AFTER_SILENCE_US = 6 * SECOND  # a change that a silent watch misses counts as told by then
+HEARTBEAT_US = 2 * SECOND
+TRICKLE_US = SECOND // 2
+NEWER_REVISION = 5
+
+
+def watch_line(harness: SidecarHarness, size: int) -> bytes:
+    """Returns a chunk with a line of some `size` bytes that tells of a drain."""
+    entry = harness.endpoint_entry(0, phase="draining")
+    update = json.dumps({"revision": NEWER_REVISION, "complete": False, "members": [entry]}).encode()
+    return chunk_bytes(update[:-1] + b" " * max(0, size - len(update)) + b"}\n")
+
+
+def send_quietly(peer: ScriptedPeer, data: bytes) -> bool:
+    """Sends to a peer that may have left; returns whether it was there."""
+    with suppress(OSError):
+        peer.send(data)
+        return True
+    return False
+
+
+class Discovery:
+    """A discovery whose list has a newer revision than the configured one, once it is told to.
+
+    Attributes:
+        calls: The targets that were asked for.
+    """
+
+    def __init__(self) -> None:
+        self.harness: SidecarHarness
+        self.calls: list[str] = []
+        self.slow_us: Callable[[int], int] = lambda _: 0  # by the number of the connection
+        self.connections = 0
+
+    def whole(self) -> bytes:
+        endpoint_list = json.loads(self.harness.endpoint_list_json)
+        endpoint_list["revision"] = NEWER_REVISION
+        return response_bytes(json.dumps(endpoint_list).encode())
+
+    def __call__(self, peer: ScriptedPeer) -> None:
+        """Answers each call after `slow_us`, and keeps watches alive."""
+        self.connections += 1
+        number = self.connections
+        while head := peer.receive_until():
+            self.calls.append(head.decode().split()[1])
+            peer.sleep(self.slow_us(number))
+            if b"watch" not in head:
+                send_quietly(peer, self.whole())
+                continue
+            is_there = send_quietly(peer, WATCH_HEAD + watch_line(self.harness, 0))
+            while is_there:
+                peer.sleep(HEARTBEAT_US)
+                is_there = send_quietly(peer, EMPTY_LINE)
+
+
+def time_until_newer_list(harness: SidecarHarness, begin: Callable[[], None]) -> int:
+    """Runs the harness; returns how long after `begin` the newer list was there, in microseconds."""
+    took_us: list[int] = []
+
+    def client(peer: ScriptedPeer) -> None:
+        watch = harness.state_machine.endpoint_watch
+        peer.wait_until(lambda: watch.has_list)
+        begin()
+        began_us = harness.scheduler.now()
+        peer.wait_until(lambda: watch.revision == NEWER_REVISION)
+        took_us.append(harness.scheduler.now() - began_us)
+
+    harness.add_client(client)
+    harness.run()
+    return took_us[0]
+
+
+@pytest.mark.parametrize("trickle_us", [0, TRICKLE_US], ids=["silent", "byte-each-half-second"])
+@pytest.mark.parametrize(
+    ("size", "sent"),
+    [
+        pytest.param(300, 1, id="in-a-chunk-size"),
+        pytest.param(300, 150, id="0.3kB-half"),
+        pytest.param(11_000, 9_900, id="11kB-nine-tenths"),
+        pytest.param(11_000, -3, id="11kB-but-the-line-end"),
+        pytest.param(11_000, -1, id="11kB-but-a-byte"),
+        pytest.param(100_000, 90_000, id="100kB-nine-tenths"),
+        pytest.param(600_000, 540_000, id="600kB-nine-tenths"),
+    ],
+)
+def test_watch_that_falls_silent_amid_a_line_is_not_waited_for(size: int, sent: int, trickle_us: int) -> None:
+    """Guards against a silent watch that is kept the longer, the more of a line has come (review/6)."""
+    discovery = Discovery()
+    silent: list[bool] = []
+
+    def script(peer: ScriptedPeer) -> None:
+        if silent:
+            discovery(peer)
+            return
+        peer.receive_until()
+        peer.send(response_bytes(discovery.harness.endpoint_list_json))
+        peer.receive_until()
+        peer.send(WATCH_HEAD + EMPTY_LINE)
+        peer.wait_until(lambda: silent)
+        line = watch_line(discovery.harness, size)
+        is_there = send_quietly(peer, line[:sent])
+        while is_there and trickle_us:
+            peer.sleep(trickle_us)
+            is_there = send_quietly(peer, b" ")
+
+    discovery.harness = harness = SidecarHarness([RecordingEndpoint()], script)
+    assert time_until_newer_list(harness, lambda: silent.append(True)) <= TOLD_AFTER_SILENCE_US
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cressrail.network import discovery_watch
+from cressrail.network import discovery_call, discovery_watch
 from tests.network.support import RecordingEndpoint, ScriptedDiscovery, read_status
 from tests.support.configuration import SECOND
 from tests.support.http_messages import (
@@ -89,11 +89,12 @@
 
     In both cases one more connection to discovery may be silent before the one that succeeds.
     """
-    longest_first_backoff_us, margin_us = 75_000, 500_000
-    first_answer_us = discovery_watch.FIRST_ANSWER_TIMEOUT_US
-    silence_us = discovery_watch.SILENCE_TIMEOUT_US
-    assert silence_us + first_answer_us + 2 * longest_first_backoff_us <= 6 * SECOND - margin_us
-    assert 3 * first_answer_us + 2 * longest_first_backoff_us <= 4 * SECOND - margin_us
+    margin_us = 500_000
+    missed_us, beside_us = discovery_watch.MISSED_HEARTBEAT_US, discovery_watch.CALL_BESIDE_US
+    assert discovery_watch.MAX_OPEN_CALLS == 3
+    assert missed_us + beside_us + margin_us <= 6 * SECOND
+    assert discovery_call.FIRST_BYTE_TIMEOUT_US + 2 * 75_000 + margin_us <= 4 * SECOND
+    assert 6 * SECOND - 2 * margin_us >= discovery_call.SILENCE_TIMEOUT_US  # a call to replace the silent one
 
 
 @pytest.mark.parametrize(
@@ -106,8 +107,8 @@
     ],
 )
 def test_watch_without_complete_line_is_reopened(answer: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery_watch, "FIRST_ANSWER_TIMEOUT_US", 30_000)
-    monkeypatch.setattr(discovery_watch, "SILENCE_TIMEOUT_US", 60_000)
+    monkeypatch.setattr(discovery_call, "FIRST_BYTE_TIMEOUT_US", 30_000)
+    monkeypatch.setattr(discovery_call, "SILENCE_TIMEOUT_US", 60_000)
     polls: list[bytes] = []
     harness = SidecarHarness([RecordingEndpoint()], lambda peer: discovery(peer))
 
@@ -153,8 +154,9 @@
 def test_slowly_sent_line_counts_as_silence_and_long_list_does_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(discovery_watch, "SILENCE_TIMEOUT_US", 100_000)
-    monkeypatch.setattr(discovery_watch, "MIN_LINE_BYTES_PER_S", 100_000)
+    monkeypatch.setattr(discovery_call, "SILENCE_TIMEOUT_US", 100_000)
+    monkeypatch.setattr(discovery_call, "LINE_TIMEOUT_US", 100_000)
+    monkeypatch.setattr(discovery_call, "MIN_LINE_BYTES_PER_S", 100_000)
     pieces_by_watch: list[int] = []
     harness = SidecarHarness([RecordingEndpoint()], lambda peer: discovery(peer))
     long_list = response_bytes(harness.endpoint_list_json.replace(b'"members"', b" " * 30_000 + b'"members"'))
--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from cressrail.network.discovery_call import CallEnded
+from cressrail.network.discovery_watch import CallDueEarlier
 from cressrail.proxy import commands
 from cressrail.proxy.state_machine import StateMachine
 from tests.network.support import RecordingEndpoint, read_status
@@ -52,7 +54,8 @@
 
     harness.add_client(client)
     harness.run()
-    assert types_by_task["watch"] == {commands.WatchEndpoints}
+    # The watch task handles the messages of its calls, too.
+    assert types_by_task["watch"] - {CallEnded, CallDueEarlier} == {commands.WatchEndpoints}
     assert types_by_task["timer"] == {commands.SetTimer}
     assert types_by_task.get("listener", {commands.AcceptClients}) == {commands.AcceptClients}
 
