Start: wait for discovery's list for 5 s, and tell clients meanwhile to come back

Cause: READY_WITHOUT_LIST_US (0.5 s) let `can_serve` and the listener go on while the call was still open.

Change: the wait ends with the list, or after 5 s; after 2 s where no connection to discovery has come about by then. The health check says no until then, the listener waits 0.5 s at most, and requests that come after that are answered with 503 at once: nothing was sent.

--- a/cressrail/network/discovery_call.py
+++ b/cressrail/network/discovery_call.py
@@ -121,6 +121,7 @@
         """Reads the complete list, if it is needed, and the watch; returns why the watch ended."""
         command = self.command
         self._stream = stream = self._connect()
+        self.dispatcher.state_machine.on_discovery_connected(self.dispatcher.now())
         after_revision = command.after_revision
         if self.awaits_complete_list:
             after_revision = self._read_complete_list(stream)
--- a/cressrail/proxy/endpoint_list.py
+++ b/cressrail/proxy/endpoint_list.py
@@ -9,8 +9,11 @@
 from cressrail.policy.random_generator import RandomGenerator
 from cressrail.proxy.commands import WatchEndpoints
 from cressrail.proxy.endpoint_registry import EndpointRegistry
+from cressrail.proxy.lifecycle import NEVER_US
 
-READY_WITHOUT_LIST_US = 500_000  # wait for discovery's list at a start before the configured list is used
+LIST_WAIT_US = 5_000_000  # wait for discovery's list at a start before the configured list is used
+UNREACHABLE_WAIT_US = 2_000_000  # the same if no connection to discovery has come about by then
+ACCEPT_WAIT_US = 500_000  # at a start, clients wait for the list this long before they are told to come back
 WATCH_RETRY_US = 50_000  # first delay before the watch is reopened; doubles with each failure
 WATCH_RETRY_DOUBLINGS = 4  # maximum number of times that the delay doubles
 # Before randomization, a delay above `WATCH_RETRY_US` is at most the drain notice divided by this number:
@@ -47,6 +50,8 @@
         discovery: Host and port of discovery.
         revision: Revision of the list that this process holds.
         has_list: Whether discovery has sent a list since the start.
+        connected_us: When a connection to discovery first came about; `NEVER_US` before one has.
+        has_reported_wait_end: Whether `take_wait_end` has returned that the wait has ended.
         consecutive_failures: Number of watches in a row that ended without an update.
     """
 
@@ -67,6 +72,8 @@
         self.random = random
         self.revision = 0
         self.has_list = False
+        self.connected_us = NEVER_US
+        self.has_reported_wait_end = False
         self.consecutive_failures = 0
         self.opened_us = now_us
         self.needs_complete_list = True  # the known list may come from a source with other revisions
@@ -151,19 +158,39 @@
         self.consecutive_failures = 0
         return [self.open(now_us, replaces_calls=True)]
 
+    def on_connected(self, now_us: int) -> None:
+        """Records that a connection to discovery has come about, so that its answer can be waited for."""
+        self.connected_us = min(self.connected_us, now_us)
+
+    def may_accept_clients(self, now_us: int) -> bool:
+        """Returns whether the listener need not wait any more for discovery's first list."""
+        return self.has_list or now_us - self.started_us >= ACCEPT_WAIT_US
+
     def is_list_wait_over(self, now_us: int) -> bool:
         """Returns whether the wait for discovery's first list has ended, with or without a list."""
-        return self.has_list or now_us - self.started_us >= READY_WITHOUT_LIST_US
+        return self.has_list or now_us >= self.list_wait_end_us
 
     def can_serve(self, now_us: int) -> bool:
         """Returns whether requests can be routed.
 
         This requires discovery's list, or endpoints known from elsewhere once the wait for the list has timed
-        out.
+        out: until then, what they are now can still be learned.
         """
         return self.has_list or (bool(self.registry.endpoints) and self.is_list_wait_over(now_us))
 
     @property
     def list_wait_end_us(self) -> int:
         """The time at which the wait for discovery's first list times out."""
-        return self.started_us + READY_WITHOUT_LIST_US
+        unreachable_us = self.started_us + UNREACHABLE_WAIT_US
+        return self.started_us + LIST_WAIT_US if self.connected_us < unreachable_us else unreachable_us
+
+    def next_start_phase_us(self, now_us: int) -> int:
+        """Returns when the next of the waits after a start ends, given that there is no list yet."""
+        accept_us = self.started_us + ACCEPT_WAIT_US
+        return accept_us if now_us < accept_us else self.list_wait_end_us
+
+    def take_wait_end(self, now_us: int) -> bool:
+        """Returns, once, whether the wait for discovery's first list has ended without one."""
+        has_ended = not self.has_reported_wait_end and not self.has_list and self.is_list_wait_over(now_us)
+        self.has_reported_wait_end = self.has_reported_wait_end or has_ended
+        return has_ended
--- a/cressrail/proxy/intake.py
+++ b/cressrail/proxy/intake.py
@@ -30,6 +30,7 @@
 INVALID_REQUEST_STATUS = 400
 UNKNOWN_PATH_STATUS = 404
 OVER_LIMIT_STATUS = 503
+NO_LIST_STATUS = 503  # the first endpoint list is still waited for
 NO_TENANT = -1
 # Remaining time of a request that its client is still sending, so that its time limit is not running yet.
 CLOCK_NOT_STARTED = -1
@@ -80,6 +81,8 @@
         if class_name is None or request_class is None or not request_id or limit_us is None:
             counted = class_name if request_class is not None else None
             return self.forwarder.reply(client, INVALID_REQUEST_STATUS, request.body, counted)
+        if not self.endpoint_watch.is_list_wait_over(now_us):
+            return self.forwarder.reply(client, NO_LIST_STATUS, request.body, class_name)
         if self.clients.open[client].is_over_limit:
             counts = {"side": "clients", "open": len(self.clients.open)}
             reply = self.forwarder.reply(client, OVER_LIMIT_STATUS, request.body, class_name)
--- a/cressrail/proxy/listener_control.py
+++ b/cressrail/proxy/listener_control.py
@@ -12,8 +12,9 @@
     """Lets the listener accept clients while the life cycle allows it and there is room for another one.
 
     There is also room if an open client may be closed. After a start, the listener stays paused until the
-    first endpoint list has arrived or the wait for it has timed out. Meanwhile clients wait in the kernel's
-    accept queue, so that no request goes to an endpoint that began to drain after the list was configured.
+    first endpoint list has arrived, for a while: meanwhile clients wait in the kernel's accept queue. Those
+    that are accepted later, still without a list, are told to come back, so that no request goes to an
+    endpoint that began to drain or was replaced after the list was configured.
     """
 
     def __init__(self, lifecycle: Lifecycle, endpoint_watch: EndpointListWatch, clients: Clients) -> None:
@@ -28,7 +29,7 @@
             return None
         accepts = (
             lifecycle.rules.accepts_clients
-            and (self.endpoint_watch.has_list or self.endpoint_watch.is_list_wait_over(now_us))
+            and self.endpoint_watch.may_accept_clients(now_us)
             and self.clients.may_accept(now_us)
         )
         if accepts is lifecycle.is_accepting:
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -153,6 +153,10 @@
         """Handles discovery's heartbeat on the watch: the list in use is still its own."""
         self.endpoint_watch.confirm(now_us, Confirmation.EMPTY_LINE)
 
+    def on_discovery_connected(self, now_us: int) -> None:
+        """Handles a connection to discovery having come about."""
+        self.endpoint_watch.on_connected(now_us)
+
     def next_watch_call(self, now_us: int) -> commands.WatchEndpoints:
         """Returns the command for a call to discovery that begins now."""
         return self.endpoint_watch.call(now_us)
--- a/tests/network/test_discovery_calls.py
+++ b/tests/network/test_discovery_calls.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
 from cressrail.network import listener
-from tests.network.support import RecordingEndpoint
+from tests.network.support import RecordingEndpoint, read_status
 from tests.support.configuration import SECOND
-from tests.support.http_messages import CHUNKED_HEADER, OK_STATUS_LINE, chunk_bytes, response_bytes
+from tests.support.http_messages import (
+    CHUNKED_HEADER,
+    OK_STATUS_LINE,
+    chunk_bytes,
+    request_bytes,
+    response_bytes,
+)
 from tests.support.scripted_peer import ScriptedPeer
 from tests.support.sidecar_harness import SidecarHarness
 
@@ -19,6 +26,7 @@
 EMPTY_LINE = chunk_bytes(b"\n")
 TOLD_AFTER_SILENCE_US = 6 * SECOND  # a change that a silent watch misses counts as told by then
 TOLD_AFTER_RELOAD_US = 4 * SECOND  # what discovery has to tell counts as told by then after SIGHUP
+READY_US = 6 * SECOND  # a new process is ready by then
 HEARTBEAT_US = 2 * SECOND
 TRICKLE_US = SECOND // 2
 NEWER_REVISION = 5
@@ -44,6 +52,8 @@
 
     Attributes:
         calls: The targets that were asked for.
+        connections: The number of connections so far.
+        phase: What the complete list says of the endpoint.
     """
 
     def __init__(self) -> None:
@@ -51,10 +61,12 @@
         self.calls: list[str] = []
         self.slow_us: Callable[[int], int] = lambda _: 0  # by the number of the connection
         self.connections = 0
+        self.phase = "up"
 
     def whole(self) -> bytes:
         endpoint_list = json.loads(self.harness.endpoint_list_json)
         endpoint_list["revision"] = NEWER_REVISION
+        endpoint_list["members"] = [self.harness.endpoint_entry(0, phase=self.phase)]
         return response_bytes(json.dumps(endpoint_list).encode())
 
     def __call__(self, peer: ScriptedPeer) -> None:
@@ -153,3 +165,69 @@
         dispatcher.dispatch(harness.state_machine.on_discovery_address(dispatcher.now(), address))
 
     assert time_until_newer_list(harness, reload) <= TOLD_AFTER_RELOAD_US
+
+
+@pytest.mark.parametrize(
+    ("slow_us", "refuses"),
+    [
+        pytest.param(lambda _: 0, False, id="at-once"),
+        pytest.param(lambda _: 300_000, False, id="slow-by-0.3s"),
+        pytest.param(lambda _: 700_000, False, id="slow-by-0.7s"),
+        pytest.param(lambda _: 1_500_000, False, id="slow-by-1.5s"),
+        pytest.param(lambda _: 3 * SECOND, False, id="slow-by-3s"),
+        pytest.param(lambda _: 4_500_000, False, id="slow-by-4.5s"),
+        pytest.param(lambda number: 60 * SECOND if number == 1 else 0, False, id="first-connection-silent"),
+        pytest.param(lambda _: 1_500_000, True, id="refuses-then-slow-by-1.5s"),
+    ],
+)
+@pytest.mark.parametrize("known_endpoints", [1, 0], ids=["known", "nothing-known"])
+def test_started_sidecar_sends_nothing_by_the_configured_list_while_discovery_may_answer(
+    slow_us: Callable[[int], int], refuses: bool, known_endpoints: int
+) -> None:
+    """Guards against requests sent by a list that may be old, while discovery is about to answer (review/8).
+
+    The endpoint drains in discovery's list; each request is answered early all the same.
+    """
+    discovery = Discovery()
+    discovery.slow_us = slow_us
+    discovery.phase = "draining"
+    listed = RecordingEndpoint()
+    discovery.harness = harness = SidecarHarness([listed], discovery, known_endpoints=known_endpoints)
+    if refuses:
+        refuse_for(harness, SECOND)
+    watch = harness.state_machine.endpoint_watch
+    slowest_us: list[int] = [0]
+
+    def client(peer: ScriptedPeer) -> None:
+        while not watch.has_list:
+            sent_us = harness.scheduler.now()
+            peer.send(request_bytes(Req_Deadline="1000m"))
+            assert read_status(peer) == b"503"
+            slowest_us.append(harness.scheduler.now() - sent_us)
+            peer.sleep(20_000)
+        assert harness.scheduler.now() - watch.started_us < READY_US
+
+    harness.add_client(client)
+    harness.run()
+    assert not listed.heads
+    assert max(slowest_us) < SECOND
+
+
+def refuse_for(harness: SidecarHarness, span_us: int) -> None:
+    """Has connections to the harness's discovery refused for a while."""
+    sock, port = harness.listening_sockets[-1], harness.ports[-1]
+    address = harness.host, port
+    harness.state_machine.endpoint_watch.discovery = harness.host, unused_port(harness.host)
+
+    def listen_again() -> None:
+        harness.scheduler.wait(until_us=harness.scheduler.now() + span_us)
+        assert sock.getsockname() == address
+        harness.state_machine.endpoint_watch.discovery = address
+
+    harness.scheduler.spawn(listen_again)
+
+
+def unused_port(host: str) -> int:
+    """Returns a port on which nobody listens."""
+    with socket.create_server((host, 0)) as server:
+        return int(server.getsockname()[1])
