Uploads: none begins or ends long after the close of a client that sent much and left

Cause: the close waits behind input that the sidecar has not read, so that it cannot be seen; uploads were excepted from the check for that before the first byte, since their own rest is unread as a rule, and before their last part only a close that can be seen was looked for.

Change: the kernel tells whether the receive buffer is so full that a close may wait unseen. If so, an upload goes on only where its client was surely there 0.1 s ago or later: when its head came, or when all that had come was read.

Price: an upload whose client goes on sending more than the buffers hold and that has waited for a place for over 0.1 s is rejected.

--- a/cressrail/network/client_connection.py
+++ b/cressrail/network/client_connection.py
@@ -14,7 +14,7 @@
 from cressrail.network.pipe_sender import LAST_CHUNK
 from cressrail.network.request_reception import ReceptionResult, RequestReception
 from cressrail.network.request_upload import RequestUpload, UploadState
-from cressrail.network.socket_stream import SocketStream, StreamTimeoutError
+from cressrail.network.socket_stream import PeerPresence, SocketStream, StreamTimeoutError
 from cressrail.network.stale_messages import discard_stale_messages
 from cressrail.proxy.commands import CloseClient, ReadRequest, SendResponse
 
@@ -133,11 +133,19 @@
         return True
 
     def _finish_upload(self, upload: RequestUpload) -> bool:
-        """Passes on the end of a large request; False if the client has disconnected since it sent it."""
-        if self.stream.has_peer_closed():
+        """Passes on the end of a large request; False if the client has disconnected since it sent it.
+
+        Where its close may wait behind further input, the request is rejected instead: it has not run yet.
+        """
+        presence = self.stream.peer_presence()
+        if presence is PeerPresence.CLOSED:
             return False
         self.upload = None
-        upload.finish()
+        if presence is PeerPresence.UNKNOWN and self.stream.may_have_left_unseen(self.dispatcher.now()):
+            self._has_unread_input = True
+            upload.reject()
+        else:
+            upload.finish()
         return True
 
     def _linger(self, span_us: int) -> None:
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -158,7 +158,7 @@
         presence = dispatcher.client_presence(client) if client else PeerPresence.THERE
         if presence is PeerPresence.CLOSED:
             dispatcher.dispatch(state_machine.on_client_disconnected(now_us, client))
-        elif presence is PeerPresence.UNKNOWN and not command.request.is_streaming:
+        elif presence is PeerPresence.UNKNOWN and self._may_have_left(command, client, now_us):
             return AttemptEnd(Outcome.NOT_SENT, "much unread input of the client may hide its close", True)
         unsent = state_machine.check_before_send(now_us, command.attempt)
         if unsent is not None:
@@ -170,6 +170,16 @@
             )
         return None
 
+    def _may_have_left(self, command: SendAttempt, client: int, now_us: int) -> bool:
+        """Returns whether a client whose close may wait behind unread input may be gone for too long.
+
+        The rest of an upload is unread as a rule, so it counts only if the client was last known to be there
+        longer ago.
+        """
+        if not command.request.is_streaming:
+            return True
+        return self.dispatcher.client_streams[client].may_have_left_unseen(now_us)
+
     def _close(self) -> None:
         if self.stream is not None:
             self.stream.close()
--- a/cressrail/network/request_reception.py
+++ b/cressrail/network/request_reception.py
@@ -197,6 +197,7 @@
         if self._body is None or self._body.pipe is None:
             raise ValueError("the body of a streaming request has no pipe")
         pipe, self._body = self._body.pipe, None
+        self.stream.present_us = self.stream.arrived_us
         clock = self._clock or UploadClock(self.stream.input_arrived_us(), None)
         clock.content_length = request.content_length
         self.upload = RequestUpload(self.dispatcher, self.client, self.stream, reader, pipe, clock)
--- a/cressrail/network/request_upload.py
+++ b/cressrail/network/request_upload.py
@@ -92,7 +92,7 @@
             turn_us = now()
             has_room = self.pipe.has_room()
             if self._is_expired(turn_us, must_look=not has_room):
-                self._expire()
+                self.reject()
                 return UploadState.ABORTED
             if not has_room:
                 if not self._wait_for_room():
@@ -122,7 +122,8 @@
         """
         count = self.stream.receive()
         if count < 0:
-            self._clock.on_empty(self.dispatcher.now())
+            self.stream.present_us = self.dispatcher.now()  # nothing is unread that could hide a close
+            self._clock.on_empty(self.stream.present_us)
             event = self.dispatcher.scheduler.wait(self.stream.descriptor, READABLE, self._due_us)
             if event == TIMED_OUT:
                 raise RequestTimeoutError(f"upload slower than {MIN_UPLOAD_BYTES_PER_S} bytes/s")
@@ -149,8 +150,8 @@
         limit_us = self.dispatcher.state_machine.upload_time_limit_us(self.client)
         return NEVER if limit_us is None else self._clock.incomplete_us + limit_us
 
-    def _expire(self) -> None:
-        """Has the request rejected: its time may be over, and no endpoint has its last byte."""
+    def reject(self) -> None:
+        """Has the request rejected, whose time may be over or client gone: no endpoint has its last byte."""
         dispatcher = self.dispatcher
         self.pipe.fail()
         dispatcher.dispatch(dispatcher.state_machine.on_upload_expired(dispatcher.now(), self.client))
--- a/cressrail/network/socket_stream.py
+++ b/cressrail/network/socket_stream.py
@@ -27,6 +27,7 @@
 )
 
 MAX_BUFFERS_PER_WRITE = 64
+HIDDEN_CLOSE_US = 100_000  # how long after its close work may still begin for a peer
 # Errors that report exhausted resources of this process or system; they are not caused by the peer.
 DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -64,6 +65,8 @@
         arrived_us: The earliest time at which the most recently received bytes may have arrived, as far as
             the event loop can tell, in microseconds. `input_arrived_us` asks the kernel too.
         created_us: The time at which this object was created, in microseconds.
+        present_us: The latest time at which the peer of an upload was surely there, as far as it was looked
+            at, in microseconds.
         needs_open_peer: Whether input is worthless once the peer has closed. It then ends where others have
             had their turn, so that no work is done for a peer that has sent much and left.
     """
@@ -74,7 +77,7 @@
         self.descriptor = sock.fileno()
         self.input_buffer = ReceiveBuffer(pool)
         self.arrived_us = scheduler.earliest_arrival_us
-        self.created_us = scheduler.now()
+        self.created_us = self.present_us = scheduler.now()
         self.needs_open_peer = False
         # Whether the next received bytes may have arrived before this object was created.
         self._may_precede_stream = True
@@ -267,6 +270,10 @@
             return PeerPresence.CLOSED
         return PeerPresence.UNKNOWN if may_hide_close(self.sock) else PeerPresence.THERE
 
+    def may_have_left_unseen(self, now_us: int) -> bool:
+        """Returns whether a peer of `UNKNOWN` presence may have left longer than `HIDDEN_CLOSE_US` ago."""
+        return now_us - self.present_us > HIDDEN_CLOSE_US
+
     def has_delivered_all(self) -> bool:
         """Returns whether the peer has taken all that was written, as far as the kernel can tell.
 
--- a/tests/network/test_request_upload.py
+++ b/tests/network/test_request_upload.py
@@ -10,7 +10,7 @@
 from cressrail.buffers.pipe import KEPT_BODY_BYTES
 from cressrail.network import request_upload
 from cressrail.network.socket_stream import SocketStream
-from tests.network.support import ConnectGate
+from tests.network.support import ConnectGate, RecordingEndpoint
 from tests.support.http_messages import DECLINED_HEADER, chunk_bytes, request_bytes, response_bytes
 from tests.support.scripted_peer import Script, ScriptedPeer
 from tests.support.sidecar_harness import SidecarHarness
@@ -318,6 +318,8 @@
         return send_some(stream, unsent) if reads_on or not is_last_part else False
 
     def client(peer: ScriptedPeer) -> None:
+        peer.wait_until(lambda: harness.state_machine.endpoint_watch.has_list)
+        monkeypatch.setattr(SocketStream, "send_some", send_if_read)
         peer.send(request_bytes(body=LARGE_BODY[: KEPT_BODY_BYTES + 20_000]))
         peer.wait_until(lambda: harness.state_machine.attempts.in_flight)
         peer.sleep(50_000)
@@ -327,7 +329,63 @@
         peer.wait_until(lambda: not harness.state_machine.attempts.in_flight)
         peer.sleep(20_000)
 
-    monkeypatch.setattr(SocketStream, "send_some", send_if_read)
     harness.add_client(client)
     harness.run()
     assert all(len(request.body) < KEPT_BODY_BYTES + 20_000 for request in received)
+
+
+def send_without_waiting(sock: socket.socket, data: bytes) -> None:
+    """Sends as much as the system takes at once."""
+    unsent = memoryview(data)
+    with suppress(BlockingIOError):
+        while unsent:
+            unsent = unsent[sock.send(unsent) :]
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+@pytest.mark.parametrize("has_begun", [False, True], ids=["waits-for-a-connection", "has-begun"])
+def test_upload_of_client_that_sent_much_and_left_does_not_run_late(
+    is_chunked: bool, has_begun: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close that waits unseen behind what the client sent after its upload (review/7)."""
+    received: list[ReceivedRequest] = []
+    endpoint = RecordingEndpoint()
+    script = tolerating_disconnect(receive_requests(received, response_bytes(b"hello")))
+    harness = SidecarHarness([script if has_begun else endpoint])
+    gate = ConnectGate(monkeypatch, lambda: harness.ports[0])
+    gate.is_open = has_begun
+    body = LARGE_BODY[: KEPT_BODY_BYTES * 7 // 2]
+    reads_on: list[bool] = []
+    sent_before: set[int] = set()
+    send_some = SocketStream.send_some
+
+    def send_if_read(stream: SocketStream, unsent: list[memoryview]) -> bool:
+        """The endpoint takes the kept part, and the rest once it reads on."""
+        leads_to_endpoint = stream.sock.getpeername()[1] == harness.ports[0]
+        if leads_to_endpoint and id(stream) in sent_before and not reads_on:
+            return False
+        sent_before.add(id(stream))
+        return send_some(stream, unsent)
+
+    def client(peer: ScriptedPeer) -> None:
+        peer.wait_until(lambda: harness.state_machine.endpoint_watch.has_list)
+        monkeypatch.setattr(SocketStream, "send_some", send_if_read)
+        if is_chunked:
+            head = request_bytes("write", Content_Length="", Transfer_Encoding="chunked")
+            upload = head + chunk_bytes(body) + chunk_bytes(b"")
+        else:
+            upload = request_bytes("write", body)
+        send_without_waiting(peer.sock, upload + request_bytes() * 30_000)
+        peer.wait_until(lambda: harness.state_machine.attempts.in_flight)
+        peer.sleep(20_000)
+        peer.sock.close()
+        peer.sleep(200_000)
+        gate.is_open = True
+        reads_on.append(True)
+        peer.wait_until(lambda: not harness.state_machine.attempts.in_flight)
+        peer.sleep(50_000)
+
+    harness.add_client(client)
+    harness.run()
+    assert not endpoint.heads
+    assert all(len(request.body) < len(body) for request in received)
