Retries: none within a key's scope once an endpoint's address has changed hands amid an attempt

What callers see: a keyed request is sent to an address while the old endpoint is believed there, and runs at its successor in another cell; the list comes, the answer is spoilt, and the request is sent on within the old endpoint's cell, where it runs a second time.

Cause: where a request may have run was kept as the endpoint that the attempt was sent to, whatever was learned of its address before the attempt ended. Each send but the last was right by what was known when it was made.

Change: the registry tells the policy when an endpoint has left its address (removed, moved, another one listed there, left out of a complete list); the policy keeps the time, and that of a change of cell or zone. A request with a key of limited scope gets no further attempt, and one that waits is not sent, if an attempt that may have run was out at such a time. Idempotent requests and keys known everywhere are sent on as before, and so are those at endpoints that drain or start again within their cell.

--- a/cressrail/policy/endpoint.py
+++ b/cressrail/policy/endpoint.py
@@ -23,6 +23,9 @@
     accepts_requests: bool  # False while the endpoint drains and after it has been removed
     started_us: int  # start time of the process; 0: it started long ago
     ring_position: int  # the same at every instance, and independent of the endpoint's properties
+    # Whether another process may stand at the address that the endpoint had: it was removed, it has moved, or
+    # another endpoint is listed there.
+    has_left_address: bool = False
 
 
 class Endpoint:
@@ -35,6 +38,8 @@
         self.scale = 1.0
         self.accepts_requests = False
         self.started_us = 0
+        # when it left its address or its cell or zone changed; attempts in flight then may have run elsewhere
+        self.replaced_us = -1
         self.ring_position = 0
         self.in_flight = 0  # this instance's attempts, except those whose request is still being uploaded
         # limit on this instance's attempts in flight; below 1, it still allows one attempt, subject to the
--- a/cressrail/policy/endpoint_table.py
+++ b/cressrail/policy/endpoint_table.py
@@ -105,6 +105,10 @@
     def _apply_entry(self, entry: EndpointUpdate, now_us: int, zones: dict[int, None]) -> Endpoint:
         """Applies one entry, and adds the zones that the endpoint leaves and enters to `zones`."""
         endpoint = self.endpoints.get(entry.endpoint_index)
+        if endpoint is not None and (
+            entry.has_left_address or (endpoint.zone, endpoint.cell) != (entry.zone, entry.cell)
+        ):
+            endpoint.replaced_us = now_us
         if endpoint is None or endpoint.started_us != entry.started_us:
             if endpoint is None:
                 endpoint = self.endpoints[entry.endpoint_index] = Endpoint(entry.endpoint_index)
--- a/cressrail/policy/load_balancer.py
+++ b/cressrail/policy/load_balancer.py
@@ -37,7 +37,7 @@
 from cressrail.policy.request_queue import QUEUE_WAIT_DIVISOR, RequestQueue
 from cressrail.policy.retry_budget import RetryBudget
 from cressrail.policy.retry_policy import RetryPolicy
-from cressrail.policy.routed_request import RoutedRequest
+from cressrail.policy.routed_request import PossibleRun, RoutedRequest
 from cressrail.policy.slow_start import SlowStart
 from cressrail.policy.tenant_quota import TenantQuotas
 from cressrail.policy.zone_spillover import ZoneSpillover
@@ -282,7 +282,8 @@
             is_complete: Whether this attempt's response is the client's answer.
         """
         endpoint = request.attempts[attempt_number]
-        if request.in_flight.pop(attempt_number, None) is None:
+        sent_us = request.in_flight.pop(attempt_number, None)
+        if sent_us is None:
             return []
         subset = self.zone_subsets[endpoint.zone]
         subset.add_in_flight(endpoint, -int(not request.is_uploading))
@@ -296,8 +297,10 @@
             was_overdue=self.is_per_client and not self.overdue_attempts.remove(request, attempt_number),
         )
         may_have_run = outcome not in NEVER_RAN_OUTCOMES and outcome is not Outcome.SUCCEEDED
-        if may_have_run and request.fixed_endpoint is None:
-            request.fixed_endpoint, request.fixed_us = endpoint, now_us - latency_us
+        if may_have_run:
+            request.possible_runs += (PossibleRun(endpoint, sent_us),)
+            if request.fixed_endpoint is None:
+                request.fixed_endpoint, request.fixed_us = endpoint, now_us - latency_us
         decisions: list[Decision] = []
         if is_complete or request.is_finished:
             if not request.is_finished:
--- a/cressrail/policy/retry_policy.py
+++ b/cressrail/policy/retry_policy.py
@@ -60,10 +60,20 @@
             return True
         if request_class.key_scope is KeyScope.ALL:
             return True
+        if not self._is_scope_known(request):
+            return False
         if request_class.key_scope is KeyScope.ZONE:
             return endpoint.zone == fixed.zone
         return endpoint.cell == fixed.cell
 
+    def _is_scope_known(self, request: RoutedRequest) -> bool:
+        """Returns whether each attempt that may have run was at the process that was listed when it was sent.
+
+        An attempt that was in flight when the endpoint left its address may have run at the process that
+        stands there now, within another scope.
+        """
+        return all(run.endpoint.replaced_us < run.sent_us for run in request.possible_runs)
+
     def may_reject(self, request: RoutedRequest, may_have_run: bool = False) -> bool:
         """Returns whether the client can be told that it is harmless to send the request again.
 
--- a/cressrail/policy/routed_request.py
+++ b/cressrail/policy/routed_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from cressrail.policy.decision import CancelAttempt, Decision
 from cressrail.policy.endpoint import Endpoint
@@ -29,6 +29,18 @@
 _OBJECTIVE_MARGIN_ROUNDS = 4
 
 
+class PossibleRun(NamedTuple):
+    """An attempt that has ended, and in which the request may have run.
+
+    Attributes:
+        endpoint: The endpoint that the attempt was sent to.
+        sent_us: When the attempt was sent.
+    """
+
+    endpoint: Endpoint
+    sent_us: int
+
+
 class RoutedRequest:
     """State of a request from its arrival until it is answered and its last attempt has ended.
 
@@ -40,6 +52,7 @@
         random_value: Number from 0 to 1, drawn once; decides whether the fractional part of a limit, or a
             zone's admitted fraction, lets the request through.
         attempts: Endpoint of each attempt, by attempt number.
+        possible_runs: The attempts that have ended and may have run, the first at `fixed_endpoint`.
     """
 
     __slots__ = (
@@ -54,6 +67,7 @@
         "is_uploading",
         "load_balancer",
         "open_fraction",
+        "possible_runs",
         "queue_until_us",
         "random_value",
         "request_class",
@@ -81,6 +95,7 @@
         self.start_clock(now_us, NO_DEADLINE_US if self.is_uploading else remaining_us)
         self.fixed_endpoint: Endpoint | None = None  # endpoint of the first attempt that may have run
         self.fixed_us = 0  # time at which that attempt was sent
+        self.possible_runs: tuple[PossibleRun, ...] = ()
         if load_balancer.is_per_client:
             self._shorten_deadline(now_us)
         self.queue_until_us: int = min(
--- a/cressrail/proxy/endpoint_registry.py
+++ b/cressrail/proxy/endpoint_registry.py
@@ -95,7 +95,7 @@
                 if registered.entry.started_us < latest_us and registered.entry.accepts_requests:
                     registered.entry = registered.entry._replace(accepts_requests=False)
                     changes.stale_connections.extend(registered.idle)
-                    changes.updates.append(self._update_of(index, registered.entry))
+                    changes.updates.append(self._update_of(index, registered.entry, has_left_address=True))
 
     def _apply_entry(self, entry: EndpointEntry, changes: RegistryChanges) -> None:
         index = self.indices.get(entry.name)
@@ -112,11 +112,11 @@
             self._at_address.setdefault((entry.host, entry.port), []).append(index)
             registered.host, registered.port = entry.host, entry.port
         registered.entry = entry
-        changes.updates.append(self._update_of(index, entry))
+        changes.updates.append(self._update_of(index, entry, has_moved or entry.is_removed))
         if entry.is_removed:
             changes.removed.append(index)
 
-    def _update_of(self, index: int, entry: EndpointEntry) -> EndpointUpdate:
+    def _update_of(self, index: int, entry: EndpointEntry, has_left_address: bool = False) -> EndpointUpdate:
         return EndpointUpdate(
             index,
             self.zones.setdefault(entry.zone, len(self.zones)),
@@ -125,6 +125,7 @@
             entry.accepts_requests,
             entry.started_us,
             crc32(entry.name.encode()),
+            has_left_address,
         )
 
     def _add(self, entry: EndpointEntry) -> int:
@@ -143,9 +144,12 @@
     def _remove_all_but(self, listed: set[str], changes: RegistryChanges) -> None:
         for index, registered in self.endpoints.items():
             if registered.name not in listed:
+                was_removed = registered.entry.is_removed
                 registered.entry = registered.entry._replace(accepts_requests=False, is_removed=True)
                 changes.stale_connections.extend(registered.idle)
                 changes.removed.append(index)
+                if not was_removed:
+                    changes.updates.append(self._update_of(index, registered.entry, has_left_address=True))
 
     def names(self) -> dict[int, str]:
         """Returns the endpoints' names, by index."""
