Retries: while discovery does not confirm the list, a key's scope is proved by connections

Cause: whether a repeat stays within the scope of its key was judged by the list alone, and an address does not prove who stands there now.

Change: the list counts as confirmed for 3 s after a word of discovery, while a watch is open and no change is half received; an answer counts from its request. Idempotent requests and keys known everywhere are sent on as before.

Reloads twice within a second, and back, are told in time (tests/network). Price: 502 for such requests where no connection proves a scope.

--- a/cressrail/discovery/watch_lines.py
+++ b/cressrail/discovery/watch_lines.py
@@ -60,6 +60,10 @@
         count, self._heartbeats = self._heartbeats, 0
         return count
 
+    def has_begun_document(self) -> bool:
+        """Returns whether a part of a document has been received that is not complete yet."""
+        return bool(self._lines_of_object) or bool(self.text.strip())
+
     def _add_line(self, line: bytes) -> list[bytes]:
         """Adds a line; returns the document that it completes, or an empty list if it completes none."""
         self._lines_of_object.append(line)
--- a/cressrail/network/discovery_call.py
+++ b/cressrail/network/discovery_call.py
@@ -202,6 +202,8 @@
                 self._events.on_progress(self)
             if self._report_lines(lines):
                 reported_bytes = 0
+            if lines.has_begun_document():
+                self.dispatcher.state_machine.on_list_change_begun()
             if self._last_byte_us >= self._until_us(len(lines.text)):
                 raise StreamTimeoutError
 
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -26,12 +26,14 @@
     Attributes:
         number: The number by which the state machine identifies the connection.
         stream: The open connection; None while it is closed.
+        established_us: When it was established, in microseconds.
     """
 
     def __init__(self, dispatcher: CommandDispatcher, number: int) -> None:
         self.dispatcher = dispatcher
         self.number = number
         self.stream: SocketStream | None = None
+        self.established_us = 0
 
     def run(self) -> None:
         """Runs attempts until the connection is closed by either side."""
@@ -134,6 +136,7 @@
             self.stream = SocketStream.connect(
                 dispatcher.scheduler, dispatcher.pool, command.host, command.port, until_us, True
             )
+            self.established_us = dispatcher.now()
         return self.stream
 
     def _connect_failure(self, error: Exception) -> AttemptEnd:
@@ -160,7 +163,7 @@
             dispatcher.dispatch(state_machine.on_client_disconnected(now_us, client))
         elif presence is PeerPresence.UNKNOWN and self._may_have_left(command, client, now_us):
             return AttemptEnd(Outcome.NOT_SENT, "much unread input of the client may hide its close", True)
-        unsent = state_machine.check_before_send(now_us, command.attempt)
+        unsent = state_machine.check_before_send(now_us, command.attempt, self.established_us)
         if unsent is not None:
             outcome, reason = unsent
             return AttemptEnd(outcome, reason, outcome is not Outcome.REJECTED_BY_ENDPOINT)
--- a/cressrail/policy/load_balancer.py
+++ b/cressrail/policy/load_balancer.py
@@ -270,6 +270,7 @@
         outcome: Outcome,
         latency_us: int,
         is_complete: bool,
+        is_process_known: bool = True,
     ) -> list[Decision]:
         """Handles the end of an attempt; the returned decisions may also concern queued requests.
 
@@ -280,6 +281,7 @@
             outcome: How the attempt ended.
             latency_us: Time since the attempt was sent, in microseconds.
             is_complete: Whether this attempt's response is the client's answer.
+            is_process_known: Whether the attempt surely reached the process that the endpoint list names.
         """
         endpoint = request.attempts[attempt_number]
         sent_us = request.in_flight.pop(attempt_number, None)
@@ -298,7 +300,7 @@
         )
         may_have_run = outcome not in NEVER_RAN_OUTCOMES and outcome is not Outcome.SUCCEEDED
         if may_have_run:
-            request.possible_runs += (PossibleRun(endpoint, sent_us),)
+            request.possible_runs += (PossibleRun(endpoint, sent_us, is_process_known),)
             if request.fixed_endpoint is None:
                 request.fixed_endpoint, request.fixed_us = endpoint, now_us - latency_us
         decisions: list[Decision] = []
--- a/cressrail/policy/retry_policy.py
+++ b/cressrail/policy/retry_policy.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cressrail.policy.endpoint_identity import EndpointIdentities
 from cressrail.policy.request_class import Idempotency, KeyScope
 
 if TYPE_CHECKING:
@@ -12,7 +13,11 @@
 
 
 class RetryPolicy:
-    """Decides whether a retry is safe. Whether the budget allows it is decided by `RetryBudget`."""
+    """Decides whether a retry is safe. Whether the budget allows it is decided by `RetryBudget`.
+
+    Attributes:
+        identities: Which endpoints are known to be the listed processes.
+    """
 
     def __init__(self, max_attempts: int, may_hedge: bool) -> None:
         """Sets the limits of the deployment.
@@ -23,6 +28,7 @@
         """
         self.max_attempts = max_attempts
         self.may_hedge = may_hedge
+        self.identities = EndpointIdentities()
 
     def may_retry(self, request: RoutedRequest, now_us: int) -> bool:
         """Returns whether the request may have another attempt now."""
@@ -60,7 +66,7 @@
             return True
         if request_class.key_scope is KeyScope.ALL:
             return True
-        if not self._is_scope_known(request):
+        if not self._is_scope_known(request) or not self.identities.is_known(endpoint.index):
             return False
         if request_class.key_scope is KeyScope.ZONE:
             return endpoint.zone == fixed.zone
@@ -72,7 +78,16 @@
         An attempt that was in flight when the endpoint left its address may have run at the process that
         stands there now, within another scope.
         """
-        return all(run.endpoint.replaced_us < run.sent_us for run in request.possible_runs)
+        return all(
+            run.is_process_known and run.endpoint.replaced_us < run.sent_us for run in request.possible_runs
+        )
+
+    def depends_on_scope(self, request: RoutedRequest) -> bool:
+        """Returns whether another attempt has to stay within the scope of the request's idempotency key."""
+        request_class = request.request_class
+        return (
+            request_class.idempotency is Idempotency.WITH_KEY and request_class.key_scope is not KeyScope.ALL
+        )
 
     def may_reject(self, request: RoutedRequest, may_have_run: bool = False) -> bool:
         """Returns whether the client can be told that it is harmless to send the request again.
--- a/cressrail/policy/routed_request.py
+++ b/cressrail/policy/routed_request.py
@@ -35,10 +35,12 @@
     Attributes:
         endpoint: The endpoint that the attempt was sent to.
         sent_us: When the attempt was sent.
+        is_process_known: Whether it surely reached the process that the list named.
     """
 
     endpoint: Endpoint
     sent_us: int
+    is_process_known: bool
 
 
 class RoutedRequest:
@@ -152,11 +154,17 @@
         return self.cancel_others(attempt_number)
 
     def on_attempt_finished(
-        self, attempt_number: int, now_us: int, outcome: Outcome, latency_us: int, is_complete: bool
+        self,
+        attempt_number: int,
+        now_us: int,
+        outcome: Outcome,
+        latency_us: int,
+        is_complete: bool,
+        is_process_known: bool = True,
     ) -> list[Decision]:
         """Handles the end of an attempt; see `LoadBalancer.on_attempt_finished`."""
         return self.load_balancer.on_attempt_finished(
-            self, attempt_number, now_us, outcome, latency_us, is_complete
+            self, attempt_number, now_us, outcome, latency_us, is_complete, is_process_known
         )
 
     def may_send(self, attempt_number: int, now_us: int) -> bool:
--- a/cressrail/proxy/attempts.py
+++ b/cressrail/proxy/attempts.py
@@ -14,6 +14,7 @@
 from cressrail.proxy.endpoint_connections import EndpointConnections
 from cressrail.proxy.endpoint_registry import EndpointRegistry
 from cressrail.proxy.id_sequence import IdSequence
+from cressrail.proxy.lifecycle import NEVER_US
 from cressrail.proxy.requests import PendingRequest
 
 if TYPE_CHECKING:
@@ -91,9 +92,18 @@
         pending: PendingRequest,
         endpoint: int,
         timeout_us: int,
+        established_by_us: int = NEVER_US,
     ) -> tuple[int, list[Command]]:
         """Starts the next attempt of a request at an endpoint.
 
+        Args:
+            now_us: The current time.
+            routed_request: The request.
+            pending: The request's state in the proxy.
+            endpoint: Index of the endpoint.
+            timeout_us: Time limit of the attempt.
+            established_by_us: Idle connections that were established by then are preferred.
+
         Returns:
             The attempt's number among those of its request, and the commands. They contain no `SendAttempt`
             if no connection is available.
@@ -101,7 +111,7 @@
         attempt = self.ids.next_id()
         number = pending.next_attempt_number()
         commands: list[Command] = []
-        connection, is_new = self.connections.acquire(now_us, endpoint, commands)
+        connection, is_new = self.connections.acquire(now_us, endpoint, commands, established_by_us)
         if connection < 0:
             return number, commands
         registered = self.registry.endpoints[endpoint]
@@ -137,13 +147,23 @@
         cancelled = self.in_flight.get(attempt)
         return [] if cancelled is None else [CancelAttempt(cancelled.connection, attempt)]
 
-    def check_before_send(self, now_us: int, attempt: int) -> tuple[Outcome, str] | None:
+    def check_before_send(
+        self, now_us: int, attempt: int, established_us: int = NEVER_US, confirmed_us: int = NEVER_US
+    ) -> tuple[Outcome, str] | None:
         """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent.
 
         Called just before the first byte of each attempt is sent, because the request and the endpoint may
         have changed state while the attempt waited for its connection.
+
+        Args:
+            now_us: The current time.
+            attempt: The attempt.
+            established_us: When its connection was established.
+            confirmed_us: When the endpoint list was last confirmed, if that is too long ago for an address to
+                be trusted; else `NEVER_US`.
         """
         checked = self.in_flight[attempt]
+        self.connections.open[checked.connection].established_us = established_us
         if checked.routed_request.is_finished:  # also if attempts in flight may not be cancelled
             return Outcome.CANCELLED, "request already answered, or client disconnected"
         registered = self.registry.endpoints[checked.endpoint]
@@ -152,6 +172,8 @@
             return Outcome.REJECTED_BY_ENDPOINT, "endpoint draining, removed or restarted"
         if not checked.routed_request.may_send(checked.number, now_us):
             return Outcome.NOT_SENT, "outside key scope or idempotency window"
+        if checked.routed_request.possible_runs and established_us > confirmed_us:
+            return Outcome.NOT_SENT, "endpoint list not confirmed of late: its address may lead elsewhere"
         return None
 
     def log_failure(
--- a/cressrail/proxy/endpoint_connections.py
+++ b/cressrail/proxy/endpoint_connections.py
@@ -6,6 +6,7 @@
 from cressrail.proxy.connection_limits import ConnectionLimits
 from cressrail.proxy.endpoint_registry import EndpointRegistry, RegisteredEndpoint
 from cressrail.proxy.id_sequence import IdSequence
+from cressrail.proxy.lifecycle import NEVER_US
 
 # Delay before a connection is reused: an endpoint may send a second response milliseconds after the first.
 CONNECTION_SETTLE_US = 5_000
@@ -20,6 +21,7 @@
         port: Port that the connection was opened to.
         started_us: Start time of the endpoint's process, as listed when the connection was opened.
         settled_us: Time from which the connection may carry another attempt.
+        established_us: Time at which it was established, or a later one; `NEVER_US` until that is known.
     """
 
     def __init__(self, endpoint: int, host: str, port: int, started_us: int) -> None:
@@ -28,6 +30,7 @@
         self.port = port
         self.started_us = started_us
         self.settled_us = 0
+        self.established_us = NEVER_US
 
     def leads_to(self, endpoint: RegisteredEndpoint) -> bool:
         """Returns whether the endpoint is still the process that the connection was opened to."""
@@ -54,17 +57,24 @@
         self.open: dict[int, EndpointConnection] = {}
         self.idle: dict[int, None] = {}
 
-    def acquire(self, now_us: int, endpoint: int, commands: list[Command]) -> tuple[int, bool]:
+    def acquire(
+        self, now_us: int, endpoint: int, commands: list[Command], established_by_us: int = NEVER_US
+    ) -> tuple[int, bool]:
         """Returns a connection to the endpoint, and whether it is new; (-1, False) if none is available.
 
         The idle connection that was used last is preferred, so that superfluous ones stay idle and can be
         closed; a connection whose settle time has passed is preferred over one that must still wait. At the
-        limit, the command to close the connection that has been idle longest is appended to `commands`.
+        limit, the command to close the connection that has been idle longest is appended to `commands`. Idle
+        connections that were established after `established_by_us` are used only if there is no other one.
         """
         registered = self.registry.endpoints[endpoint]
         if registered.idle:
-            settled = (idle for idle in reversed(registered.idle) if self.open[idle].settled_us <= now_us)
-            connection = next(settled, registered.idle[0])
+            candidates = registered.idle
+            if established_by_us < NEVER_US:
+                older = [idle for idle in candidates if self.open[idle].established_us <= established_by_us]
+                candidates = older or candidates
+            settled = (idle for idle in reversed(candidates) if self.open[idle].settled_us <= now_us)
+            connection = next(settled, candidates[0])
             self.claim(connection)
             return connection, False
         if len(self.open) >= self.limits.endpoint_connections:
@@ -103,6 +113,10 @@
         self.registry.endpoints[self.open[connection].endpoint].idle.remove(connection)
         return True
 
+    def endpoints_connected_since(self, time_us: int) -> set[int]:
+        """Returns the indices of the endpoints with an idle connection established by `time_us`."""
+        return {self.open[idle].endpoint for idle in self.idle if self.open[idle].established_us <= time_us}
+
     def close_longest_idle(self) -> list[Command]:
         """Returns the command to close the connection that has been idle longest, if any is idle."""
         if not self.idle:
--- a/cressrail/proxy/endpoint_list.py
+++ b/cressrail/proxy/endpoint_list.py
@@ -13,6 +13,8 @@
 
 LIST_WAIT_US = 5_000_000  # wait for discovery's list at a start before the configured list is used
 UNREACHABLE_WAIT_US = 2_000_000  # the same if no connection to discovery has come about by then
+HEARTBEAT_US = 2_000_000  # interval at which discovery sends an empty line if there is no update
+CONFIRMED_FOR_US = HEARTBEAT_US * 3 // 2  # how long a list counts as confirmed without a word of discovery
 ACCEPT_WAIT_US = 500_000  # at a start, clients wait for the list this long before they are told to come back
 WATCH_RETRY_US = 50_000  # first delay before the watch is reopened; doubles with each failure
 WATCH_RETRY_DOUBLINGS = 4  # maximum number of times that the delay doubles
@@ -50,6 +52,8 @@
         discovery: Host and port of discovery.
         revision: Revision of the list that this process holds.
         has_list: Whether discovery has sent a list since the start.
+        is_watched: Whether discovery has confirmed the list since a call ended or its address changed.
+        has_change_begun: Whether a part of a change has come that is not complete yet.
         connected_us: When a connection to discovery first came about; `NEVER_US` before one has.
         has_reported_wait_end: Whether `take_wait_end` has returned that the wait has ended.
         consecutive_failures: Number of watches in a row that ended without an update.
@@ -72,6 +76,8 @@
         self.random = random
         self.revision = 0
         self.has_list = False
+        self.is_watched = False
+        self.has_change_begun = False
         self.connected_us = NEVER_US
         self.has_reported_wait_end = False
         self.consecutive_failures = 0
@@ -97,6 +103,26 @@
         """Records that the list in use is discovery's own at this time."""
         self.confirmed_us = max(self.confirmed_us, now_us)
         self.confirmed_by = confirmation
+        self.is_watched = True
+        self.has_change_begun = False
+
+    def is_confirmed(self, now_us: int) -> bool:
+        """Returns whether the list in use is discovery's own by all that is known.
+
+        That is not so before discovery's first list, while there is no watch, after a silence, and once a
+        part of a change has come.
+        """
+        is_told = self.has_list and self.is_watched and not self.has_change_begun
+        return is_told and now_us - self.confirmed_us <= CONFIRMED_FOR_US
+
+    def doubted_since_us(self, now_us: int) -> int:
+        """Returns when the list was last confirmed, if it does not count as confirmed now; else `NEVER_US`.
+
+        Before discovery has sent a list it returns a time before the start.
+        """
+        if self.is_confirmed(now_us):
+            return NEVER_US
+        return self.confirmed_us if self.has_list else self.started_us - 1
 
     def age_fields(self, now_us: int) -> dict[str, Any]:
         """Returns the fields of a log event that tell how old the list in use is, and what confirmed it."""
@@ -147,6 +173,7 @@
         if not self.consecutive_failures and now_us - self.opened_us >= WATCH_STABLE_US:
             pause_us = 0
         self.consecutive_failures += 1
+        self.is_watched = False
         return pause_us
 
     def change_discovery(self, now_us: int, discovery: tuple[str, int]) -> list[WatchEndpoints]:
@@ -154,6 +181,7 @@
         if discovery == self.discovery:
             return []
         self.discovery = discovery
+        self.is_watched = False
         self.needs_complete_list = True
         self.consecutive_failures = 0
         return [self.open(now_us, replaces_calls=True)]
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -19,6 +19,7 @@
 from cressrail.proxy.attempts import AttemptResult, Attempts
 from cressrail.proxy.clients import Client, Clients
 from cressrail.proxy.commands import Command, LogEvent, ReleaseBody, SendResponse
+from cressrail.proxy.endpoint_list import EndpointListWatch
 from cressrail.proxy.lifecycle import NEVER_US, Lifecycle
 from cressrail.proxy.request_counters import RequestCounters
 from cressrail.proxy.requests import (
@@ -48,6 +49,7 @@
         self,
         load_balancer: LoadBalancer,
         lifecycle: Lifecycle,
+        endpoint_watch: EndpointListWatch,
         clients: Clients,
         requests: PendingRequests,
         attempts: Attempts,
@@ -55,6 +57,7 @@
     ) -> None:
         self.load_balancer = load_balancer
         self.lifecycle = lifecycle
+        self.endpoint_watch = endpoint_watch
         self.clients = clients
         self.requests = requests
         self.attempts = attempts
@@ -92,7 +95,10 @@
         commands: list[Command],
     ) -> list[Decision]:
         pending = self.requests.pending[routed_request]
-        number, started = self.attempts.start(now_us, routed_request, pending, endpoint, timeout_us)
+        established_by_us = self._doubted_since_us(now_us, routed_request)
+        number, started = self.attempts.start(
+            now_us, routed_request, pending, endpoint, timeout_us, established_by_us
+        )
         commands += started
         if number in pending.attempts:
             return []
@@ -313,6 +319,38 @@
         routed_request = self.attempts.in_flight[attempt].routed_request
         return 0 if routed_request.is_finished else self.requests.pending[routed_request].client
 
+    # Who stands at an endpoint's address
+
+    def _doubted_since_us(self, now_us: int, routed_request: RoutedRequest) -> int:
+        """Returns when the list was last confirmed, if a further attempt has to go by an older connection.
+
+        It has to if the request may have run, its key is known within a scope alone, and the list is not
+        confirmed of late; else the result is `NEVER_US`.
+        """
+        if not routed_request.possible_runs:
+            return NEVER_US
+        if not self.load_balancer.retry_policy.depends_on_scope(routed_request):
+            return NEVER_US
+        return self.endpoint_watch.doubted_since_us(now_us)
+
+    def _learn_identities(self, now_us: int) -> int:
+        """Tells the policy which endpoints are known; returns when a doubted list was last confirmed."""
+        identities = self.load_balancer.retry_policy.identities
+        doubted_us = self.endpoint_watch.doubted_since_us(now_us)
+        if doubted_us == NEVER_US:
+            identities.confirm_list()
+        else:
+            identities.doubt_list(self.attempts.connections.endpoints_connected_since(doubted_us))
+        return doubted_us
+
+    def check_before_send(self, now_us: int, attempt: int, established_us: int) -> tuple[Outcome, str] | None:
+        """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent."""
+        routed_request = self.attempts.in_flight[attempt].routed_request
+        doubted_us = self._doubted_since_us(now_us, routed_request)
+        # From here on it is the attempt's own connection that counts.
+        self.load_balancer.retry_policy.identities.confirm_list()
+        return self.attempts.check_before_send(now_us, attempt, established_us, doubted_us)
+
     # Results of attempts
 
     def on_attempt_sent(self, now_us: int, attempt: int) -> None:
@@ -370,8 +408,12 @@
             commands.append(self.attempts.log_failure(now_us, ended, pending, result))
         pending.set_invalid(result.outcome is Outcome.INVALID_REQUEST)
         self.attempts.count_by_zone(now_us, ended, result)
+        is_process_known = True
+        if not has_succeeded and self.load_balancer.retry_policy.depends_on_scope(routed_request):
+            established_us = connections.open[ended.connection].established_us
+            is_process_known = established_us <= self._learn_identities(now_us)
         decisions = routed_request.on_attempt_finished(
-            ended.number, now_us, result.outcome, now_us - ended.sent_us, is_answer
+            ended.number, now_us, result.outcome, now_us - ended.sent_us, is_answer, is_process_known
         )
         commands += self._apply_decisions(now_us, decisions)
         self.attempts.forget_if_removed(ended.endpoint)
--- a/cressrail/proxy/state_machine.py
+++ b/cressrail/proxy/state_machine.py
@@ -82,7 +82,13 @@
         self.attempts = Attempts(load_balancer, registry, self.connections, self.ids)
         self.counters = RequestCounters(settings.request_classes)
         self.forwarder = RequestForwarder(
-            load_balancer, self.lifecycle, self.clients, self.requests, self.attempts, self.counters
+            load_balancer,
+            self.lifecycle,
+            self.endpoint_watch,
+            self.clients,
+            self.requests,
+            self.attempts,
+            self.counters,
         )
         self.intake = RequestIntake(
             settings,
@@ -161,6 +167,10 @@
         """Returns the command for a call to discovery that begins now."""
         return self.endpoint_watch.call(now_us)
 
+    def on_list_change_begun(self) -> None:
+        """Handles a part of a change: discovery has news that the list in use does not have."""
+        self.endpoint_watch.has_change_begun = True
+
     def on_watch_ended(self, now_us: int, reason: str, open_calls: int = 0) -> list[Command]:
         """Handles the end of a call for the watch on the endpoint list; has another begun after a delay.
 
@@ -329,9 +339,17 @@
         """Returns the client that waits for the answer to an attempt's request; 0 if none does any more."""
         return self.forwarder.waiting_client(attempt)
 
-    def check_before_send(self, now_us: int, attempt: int) -> tuple[Outcome, str] | None:
-        """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent."""
-        return self.attempts.check_before_send(now_us, attempt)
+    def check_before_send(
+        self, now_us: int, attempt: int, established_us: int = 0
+    ) -> tuple[Outcome, str] | None:
+        """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent.
+
+        Args:
+            now_us: The current time.
+            attempt: The attempt.
+            established_us: When its connection was established.
+        """
+        return self.forwarder.check_before_send(now_us, attempt, established_us)
 
     def is_attempt_wanted(self, attempt: int) -> bool:
         """Returns whether the request of an attempt still lacks its answer, and its client is there."""
--- a/tests/network/test_discovery_calls.py
+++ b/tests/network/test_discovery_calls.py
@@ -19,7 +19,7 @@
     request_bytes,
     response_bytes,
 )
-from tests.support.scripted_peer import ScriptedPeer
+from tests.support.scripted_peer import Script, ScriptedPeer
 from tests.support.sidecar_harness import SidecarHarness
 
 WATCH_HEAD = OK_STATUS_LINE + CHUNKED_HEADER
@@ -155,16 +155,81 @@
     discovery = Discovery()
     discovery.slow_us = slow_us
     discovery.harness = harness = SidecarHarness([RecordingEndpoint()])
+    address = add_discovery(harness, discovery)
+    assert time_until_newer_list(harness, lambda: reload(harness, address)) <= TOLD_AFTER_RELOAD_US
+
+
+def add_discovery(harness: SidecarHarness, script: Script) -> tuple[str, int]:
+    """Starts another discovery; returns its address."""
     sock = listener.bind(harness.host, 0)
     harness.listening_sockets.append(sock)
-    harness.scheduler.spawn(lambda: harness._accept(sock, discovery))
+    harness.scheduler.spawn(lambda: harness._accept(sock, script))
+    return harness.host, int(sock.getsockname()[1])
+
+
+def reload(harness: SidecarHarness, address: tuple[str, int]) -> None:
+    """Reloads a configuration that names this address of discovery."""
+    dispatcher = harness.dispatcher
+    dispatcher.dispatch(harness.state_machine.on_discovery_address(dispatcher.now(), address))
+
+
+@pytest.mark.parametrize("slow_us", [0, 2_500_000], ids=["at-once", "slow-by-2.5s"])
+@pytest.mark.parametrize("first", ["silent", "refuses", "half-a-line", "same"])
+def test_list_is_told_in_time_after_two_reloads(first: str, slow_us: int) -> None:
+    """Guards against calls and half-read lines of an earlier address that hold up those to the last one."""
+    discovery = Discovery()
+    discovery.slow_us = lambda _: slow_us
+
+    def script(peer: ScriptedPeer) -> None:
+        while head := peer.receive_until():
+            if b"watch" not in head:
+                peer.send(response_bytes(discovery.harness.endpoint_list_json))
+                continue
+            send_quietly(peer, WATCH_HEAD + EMPTY_LINE)
+            if first == "half-a-line":
+                send_quietly(peer, watch_line(discovery.harness, 11_000)[:9_000])
+            peer.sleep(30 * SECOND)
+
+    discovery.harness = harness = SidecarHarness([RecordingEndpoint()], script)
+    address = add_discovery(harness, discovery)
+    others = {
+        "silent": add_discovery(harness, lambda peer: peer.sleep(30 * SECOND)),
+        "refuses": (harness.host, unused_port(harness.host)),
+        "half-a-line": (harness.host, harness.ports[-1]),
+        "same": address,
+    }
+
+    def reload_twice() -> None:
+        reload(harness, others[first])
+        harness.scheduler.wait(until_us=harness.scheduler.now() + SECOND // 2)
+        reload(harness, address)
+
+    assert time_until_newer_list(harness, reload_twice) <= TOLD_AFTER_RELOAD_US
+
+
+def test_list_is_told_in_time_after_a_reload_back_to_the_old_address() -> None:
+    """Guards against a return to an address whose calls were ended for another one."""
+    discovery = Discovery()
+    discovery.harness = harness = SidecarHarness([RecordingEndpoint()], lambda peer: script(peer))
+    answers_newer: list[bool] = []
+
+    def script(peer: ScriptedPeer) -> None:
+        if answers_newer:
+            discovery(peer)
+        else:
+            peer.receive_until()
+            peer.send(response_bytes(harness.endpoint_list_json))
+            peer.sleep(30 * SECOND)
+
+    silent = add_discovery(harness, lambda peer: peer.sleep(30 * SECOND))
 
-    def reload() -> None:
-        address = harness.host, sock.getsockname()[1]
-        dispatcher = harness.dispatcher
-        dispatcher.dispatch(harness.state_machine.on_discovery_address(dispatcher.now(), address))
+    def reload_there_and_back() -> None:
+        reload(harness, silent)
+        harness.scheduler.wait(until_us=harness.scheduler.now() + SECOND // 2)
+        answers_newer.append(True)
+        reload(harness, (harness.host, harness.ports[-1]))
 
-    assert time_until_newer_list(harness, reload) <= TOLD_AFTER_RELOAD_US
+    assert time_until_newer_list(harness, reload_there_and_back) <= TOLD_AFTER_RELOAD_US
 
 
 @pytest.mark.parametrize(
