--- a/cressrail/event_loop/scheduler.py
+++ b/cressrail/event_loop/scheduler.py
@@ -27,6 +27,8 @@
 
 from greenlet import getcurrent, greenlet
 
+from cressrail.event_loop.task import Task
+
 # Event masks of poll, which `Scheduler.wait` accepts and returns, and its two other results. They are plain
 # integers because they are combined and tested on the hot path, where an IntFlag would cost a call each time.
 READABLE = select.POLLIN  # data, a new connection, or the end of the stream
@@ -51,52 +53,6 @@
 YIELDED_TURNS_US = 2_000  # time in each round for tasks that have yielded; at least one of them runs
 
 
-class Task:
-    """A cooperative thread of control, created by `Scheduler.spawn`.
-
-    Attributes:
-        greenlet: The greenlet that the task runs on.
-        has_priority: Whether the task runs before other ready tasks of a round.
-        messages: The mailbox: posted messages that the task has not removed yet.
-        has_read: Whether the task has read since it last woke or yielded.
-        turn_end_us: When its turn is over; 0 before it was first asked.
-        yielded_round: Number of the round in which it yielded last.
-        turns: Number of turns that have ended since it woke, `TURN_LEVELS` - 1 at most.
-        fd: The descriptor that the task waits for; -1 for none.
-        earliest_arrival_us: The earliest time at which the input that woke the task may have arrived.
-        wait_number: Number of waits and wake-ups so far; a timer that was set under another number is
-            ignored.
-        is_waiting_for_message: Whether a posted message wakes the task.
-    """
-
-    __slots__ = (
-        "earliest_arrival_us",
-        "fd",
-        "greenlet",
-        "has_priority",
-        "has_read",
-        "is_waiting_for_message",
-        "messages",
-        "turn_end_us",
-        "turns",
-        "wait_number",
-        "yielded_round",
-    )
-
-    def __init__(self, body: greenlet, has_priority: bool) -> None:
-        self.greenlet = body
-        self.has_priority = has_priority
-        self.messages: deque[Any] = deque()
-        self.has_read = False
-        self.turn_end_us = 0
-        self.turns = 0
-        self.yielded_round = 0
-        self.fd = -1
-        self.earliest_arrival_us = 0
-        self.wait_number = 0
-        self.is_waiting_for_message = False
-
-
 class Scheduler:
     """Runs tasks in rounds: one poll, then every task that is ready.
 
--- a/cressrail/network/admin_server.py
+++ b/cressrail/network/admin_server.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from cressrail.event_loop.scheduler import MESSAGE, READABLE, TIMED_OUT, WRITABLE, Task
+from cressrail.event_loop.scheduler import MESSAGE, READABLE, TIMED_OUT, WRITABLE
+from cressrail.event_loop.task import Task
 from cressrail.http1.errors import MalformedMessageError
 from cressrail.http1.headers import parse_head
 from cressrail.http1.request import parse_request_line
--- a/cressrail/network/discovery_call.py
+++ b/cressrail/network/discovery_call.py
@@ -12,7 +12,8 @@
     parse_update_line,
 )
 from cressrail.discovery.watch_lines import WatchLines, WholeDocument
-from cressrail.event_loop.scheduler import READABLE, Task
+from cressrail.event_loop.scheduler import READABLE
+from cressrail.event_loop.task import Task
 from cressrail.http1.errors import MalformedMessageError
 from cressrail.http1.response import ResponseReader
 from cressrail.network.dispatcher import CommandDispatcher
--- a/cressrail/network/discovery_watch.py
+++ b/cressrail/network/discovery_watch.py
@@ -4,7 +4,8 @@
 
 from typing import NamedTuple
 
-from cressrail.event_loop.scheduler import NEVER, Task
+from cressrail.event_loop.scheduler import NEVER
+from cressrail.event_loop.task import Task
 from cressrail.network.discovery_call import HEARTBEAT_US, CallEnded, CallEvents, DiscoveryCall
 from cressrail.network.dispatcher import CommandDispatcher
 from cressrail.proxy.commands import WatchEndpoints
--- a/cressrail/network/dispatcher.py
+++ b/cressrail/network/dispatcher.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from cressrail.buffers.pool import BufferPool
-from cressrail.event_loop.scheduler import Scheduler, Task
+from cressrail.event_loop.scheduler import Scheduler
+from cressrail.event_loop.task import Task
 from cressrail.logs.log_writer import LogWriter
 from cressrail.network.socket_stream import PeerPresence, SocketStream
 from cressrail.proxy import commands
--- a/cressrail/network/listener.py
+++ b/cressrail/network/listener.py
@@ -5,7 +5,8 @@
 import errno
 import socket
 
-from cressrail.event_loop.scheduler import MESSAGE, READABLE, Task
+from cressrail.event_loop.scheduler import MESSAGE, READABLE
+from cressrail.event_loop.task import Task
 from cressrail.network.client_connection import ClientConnectionTask
 from cressrail.network.dispatcher import CommandDispatcher
 from cressrail.network.socket_stream import DESCRIPTORS_EXHAUSTED
--- a/cressrail/proxy/forwarding.py
+++ b/cressrail/proxy/forwarding.py
@@ -95,7 +95,9 @@
         commands: list[Command],
     ) -> list[Decision]:
         pending = self.requests.pending[routed_request]
-        established_by_us = self._doubted_since_us(now_us, routed_request)
+        established_by_us = NEVER_US
+        if routed_request.possible_runs:
+            established_by_us = self._doubted_since_us(now_us, routed_request)
         number, started = self.attempts.start(
             now_us, routed_request, pending, endpoint, timeout_us, established_by_us
         )
@@ -324,11 +326,9 @@
     def _doubted_since_us(self, now_us: int, routed_request: RoutedRequest) -> int:
         """Returns when the list was last confirmed, if a further attempt has to go by an older connection.
 
-        It has to if the request may have run, its key is known within a scope alone, and the list is not
-        confirmed of late; else the result is `NEVER_US`.
+        Of requests that may have run, those have to whose key is known within a scope alone, if the list is
+        not confirmed of late; else the result is `NEVER_US`.
         """
-        if not routed_request.possible_runs:
-            return NEVER_US
         if not self.load_balancer.retry_policy.depends_on_scope(routed_request):
             return NEVER_US
         return self.endpoint_watch.doubted_since_us(now_us)
@@ -346,9 +346,11 @@
     def check_before_send(self, now_us: int, attempt: int, established_us: int) -> tuple[Outcome, str] | None:
         """Returns the outcome and reason if an attempt must not be sent any more; None if it may be sent."""
         routed_request = self.attempts.in_flight[attempt].routed_request
-        doubted_us = self._doubted_since_us(now_us, routed_request)
-        # From here on it is the attempt's own connection that counts.
-        self.load_balancer.retry_policy.identities.confirm_list()
+        doubted_us = NEVER_US
+        if routed_request.possible_runs:
+            doubted_us = self._doubted_since_us(now_us, routed_request)
+            # From here on it is the attempt's own connection that counts.
+            self.load_balancer.retry_policy.identities.confirm_list()
         return self.attempts.check_before_send(now_us, attempt, established_us, doubted_us)
 
     # Results of attempts
--- a/cressrail/proxy/intake.py
+++ b/cressrail/proxy/intake.py
@@ -81,7 +81,7 @@
         if class_name is None or request_class is None or not request_id or limit_us is None:
             counted = class_name if request_class is not None else None
             return self.forwarder.reply(client, INVALID_REQUEST_STATUS, request.body, counted)
-        if not self.endpoint_watch.is_list_wait_over(now_us):
+        if not (self.endpoint_watch.has_list or self.endpoint_watch.is_list_wait_over(now_us)):
             return self.forwarder.reply(client, NO_LIST_STATUS, request.body, class_name)
         if self.clients.open[client].is_over_limit:
             counts = {"side": "clients", "open": len(self.clients.open)}
--- a/cressrail/proxy/listener_control.py
+++ b/cressrail/proxy/listener_control.py
@@ -29,7 +29,7 @@
             return None
         accepts = (
             lifecycle.rules.accepts_clients
-            and self.endpoint_watch.may_accept_clients(now_us)
+            and (self.endpoint_watch.has_list or self.endpoint_watch.may_accept_clients(now_us))
             and self.clients.may_accept(now_us)
         )
         if accepts is lifecycle.is_accepting:
--- a/cressrail/proxy/timers.py
+++ b/cressrail/proxy/timers.py
@@ -32,7 +32,7 @@
         """Performs all work that is due; returns the commands to execute."""
         lifecycle = self.lifecycle
         out = self.forwarder.on_timer(now_us)
-        if self.endpoint_watch.take_wait_end(now_us):
+        if not self.endpoint_watch.has_list and self.endpoint_watch.take_wait_end(now_us):
             fields = {"waited_us": now_us - self.endpoint_watch.started_us}
             out.append(LogEvent(events.SERVING_WITHOUT_LIST, fields))
         if now_us >= self.forwarder.deadline_check_us:
@@ -59,7 +59,7 @@
         next_us = wake_us if wake_us < check_us else check_us
         has_to_ask = lifecycle.is_taking_over and not lifecycle.has_asked_predecessor
         watch = self.endpoint_watch
-        if has_to_ask or not watch.is_list_wait_over(now_us):
+        if has_to_ask or not (watch.has_list or watch.is_list_wait_over(now_us)):
             next_us = min(next_us, watch.next_start_phase_us(now_us))
         if lifecycle.is_stopping:
             next_us = min(next_us, lifecycle.next_stop_phase_us)
