Soak: a discovery that is slow, silent on some connections, and leaves long lines half sent

Cause: the soak had no discovery, so that neither slow lists nor long lines were ever played beside clients that leave, floods, crowds and signals.

Change: in six of ten plays a discovery with lines of 0.3 to 600 kB, answers after 0 to 3 s, silent connections and lines that stop or trickle. Its random numbers are its own, so the rest of each seed is as before.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -23,6 +23,7 @@
 from pathlib import Path
 
 from tests.faults.flood import KINDS, LEAVING_KINDS
+from tests.faults.slow_discovery import SlowDiscovery
 from tests.faults.support import (
     LATE_S,
     SMALL_BUFFER_BYTES,
@@ -33,7 +34,7 @@
     read_answer,
 )
 from tests.faults.test_crowd import CROWDS
-from tests.support.configuration import SECOND, SIDECAR_CONFIGURATION
+from tests.support.configuration import SECOND, SIDECAR_CONFIGURATION, endpoint_entry
 from tests.support.http_messages import request_bytes, response_bytes
 
 RUN_S = 4.0  # before SIGTERM
@@ -41,6 +42,7 @@
 CLIENTS = 6
 CROWD_SHARE = 0.3  # of the plays
 FLOOD_SHARE = 0.4
+DISCOVERY_SHARE = 0.6
 CROWD_CLIENTS = 60
 ENDPOINTS = 3
 SHOWN_FAULTS = 3
@@ -61,7 +63,16 @@
         for profile in settings["profiles"]:
             profile["hard_limit_us"] = int(self.longest_s * SECOND)
             profile["service_goal_us"] = int(self.longest_s * SECOND) // 3
-        self.sidecar = Sidecar(folder, self.endpoints, settings=settings)
+        self.discovery = self._start_discovery(random.Random(f"discovery {seed}"))
+        address = None if self.discovery is None else f"127.0.0.1:{self.discovery.port}"
+        self.sidecar = Sidecar(folder, self.endpoints, discovery=address, settings=settings)
+
+    def _start_discovery(self, rng: random.Random) -> StandInEndpoint | None:
+        """Starts a slow discovery in some plays; in the others nobody listens at its address."""
+        if rng.random() >= DISCOVERY_SHARE:
+            return None
+        entries = [endpoint_entry(endpoint.name, endpoint.port) for endpoint in self.endpoints]
+        return StandInEndpoint("discovery", SlowDiscovery(rng, entries))
 
     def _endpoint(self, number: int) -> StandInEndpoint:
         script = answer_all if number == 0 else self.random.choice(ENDPOINT_SCRIPTS)
@@ -225,7 +236,7 @@
     with tempfile.TemporaryDirectory() as folder, ExitStack() as cleanup:
         current = Play(seed, Path(folder))
         cleanup.callback(current.sidecar.close)
-        for endpoint in current.endpoints:
+        for endpoint in [*current.endpoints, *filter(None, [current.discovery])]:
             cleanup.callback(endpoint.close)
         threads = [
             threading.Thread(target=current.run_client, args=(number, seed * 1000 + number), daemon=True)
