Discovery: an indented update may take longer in all than one line

A slow one would have been given up after 4 s.

Change: each complete line starts the limit anew, as before the calls; progress is counted in received bytes.

--- a/cressrail/network/discovery_call.py
+++ b/cressrail/network/discovery_call.py
@@ -183,7 +183,8 @@
         """
         reader = ResponseReader(lines, UNLIMITED_BODY_BYTES)
         messages = self.dispatcher.scheduler.current_task().messages
-        reported_bytes = 0
+        unreported_bytes = 0
+        line_count = 0
         while not reader.is_complete:
             if messages:
                 raise StreamInterruptedError
@@ -198,11 +199,14 @@
             stream.feed_to(reader.feed)
             if reader.status not in (NO_STATUS_YET, OK):
                 raise MalformedEndpointListError(f"discovery responded with status {reader.status}")
-            if len(lines.text) >= reported_bytes + PROGRESS_BYTES:
-                reported_bytes = len(lines.text)
+            unreported_bytes += count
+            if unreported_bytes >= PROGRESS_BYTES:
+                unreported_bytes = 0
                 self._events.on_progress(self)
-            if self._report_lines(lines):
-                reported_bytes = 0
+            if lines.line_count > line_count:  # a line of an indented document counts, too
+                line_count = lines.line_count
+                self._line_us = self._last_byte_us
+            self._report_lines(lines)
             if lines.has_begun_document():
                 self.dispatcher.state_machine.on_list_change_begun()
             if self._last_byte_us >= self._until_us(len(lines.text)):
@@ -225,19 +229,17 @@
         line_us = LINE_TIMEOUT_US + partial_bytes * US_PER_S // MIN_LINE_BYTES_PER_S
         return min(self._last_byte_us + SILENCE_TIMEOUT_US, self._line_us + line_us)
 
-    def _report_lines(self, lines: WatchLines) -> bool:
-        """Reports the lines that are complete; returns whether there are any."""
+    def _report_lines(self, lines: WatchLines) -> None:
+        """Reports the documents and empty lines that are complete."""
         documents = lines.take_documents()
         for document in documents:
             self._report(parse_update_line(document))
         heartbeats = lines.take_heartbeats()
         if heartbeats and not documents:
             self.dispatcher.state_machine.on_list_unchanged(self._asked_us)
-        if not documents and not heartbeats:
-            return False
-        self._line_us = self._asked_us = self.dispatcher.now()
-        self._events.on_line(self)
-        return True
+        if documents or heartbeats:
+            self._asked_us = self.dispatcher.now()
+            self._events.on_line(self)
 
     def _report(self, update: EndpointListUpdate) -> None:
         dispatcher = self.dispatcher
--- a/tests/network/test_discovery_watch.py
+++ b/tests/network/test_discovery_watch.py
@@ -188,6 +188,31 @@
     assert pieces_by_watch[0] >= 1
 
 
+def test_indented_update_may_take_longer_in_all_than_one_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a time limit for lines that counts an indented update as one of them."""
+    monkeypatch.setattr(discovery_call, "LINE_TIMEOUT_US", 100_000)
+    monkeypatch.setattr(discovery_call, "MIN_LINE_BYTES_PER_S", SECOND)
+    watches: list[bytes] = []
+    harness = SidecarHarness([RecordingEndpoint()], lambda peer: discovery(peer))
+
+    def discovery(peer: ScriptedPeer) -> None:
+        peer.receive_until()
+        peer.send(response_bytes(harness.endpoint_list_json))
+        watches.append(peer.receive_until())
+        update = {"revision": 5, "complete": False, "members": [harness.endpoint_entry(0, phase="draining")]}
+        peer.send(WATCH_HEAD)
+        for line in json.dumps(update, indent=1).encode().splitlines():
+            peer.send(chunk_bytes(line + b"\n"))
+            peer.sleep(30_000)
+
+    def client(peer: ScriptedPeer) -> None:
+        peer.wait_until(lambda: harness.state_machine.endpoint_watch.revision == 5)
+
+    harness.add_client(client)
+    harness.run()
+    assert len(watches) == 1
+
+
 @pytest.mark.parametrize("indent", [None, 1, 4])
 def test_updates_may_be_indented_and_share_a_read(indent: int | None) -> None:
     harness = SidecarHarness([RecordingEndpoint()], lambda peer: discovery(peer))
