Uploads: one whose client may have left is held back and read on, before it is rejected

Traced: the process was held up for over 0.1 s between the head of an upload and its first byte; the receive buffer counted as full, with 101 bytes unread in a large piece of the kernel's memory, since the pipe was full; so the upload was rejected with 503 ("much unread input of the client may hide its close"), and the endpoint's idle connection closed 6 s later, where the test wrote.

Change: before it is rejected at its first byte, an upload waits for up to 0.1 s, looked at every 2 ms, and its pipe takes up to 32 buffers, so that its client's task reads on and a close, or its absence, can be seen.

--- a/cressrail/buffers/pipe.py
+++ b/cressrail/buffers/pipe.py
@@ -10,6 +10,7 @@
 KEPT_BODY_BYTES = 65536  # a body up to this size is kept, so that its request can be sent again
 FIELDS_PER_BUFFER = 32  # a parsed field takes 256 bytes, with its name, value and look-up entry
 MAX_PIPE_BUFFERS = 8  # the writer checks `has_room` against this limit before it receives more data
+WIDE_PIPE_BUFFERS = 32  # the same for a pipe that was widened
 
 
 class Pipe:
@@ -25,6 +26,7 @@
         has_failed: Whether the writer has reported that it can't provide the rest of the body.
         is_discarded: Whether the reader has stopped reading; appended data is then dropped.
         has_been_consumed: Whether some bytes have been consumed and can't be read again.
+        max_buffers: Number of buffers from which the writer waits.
         on_data: Callback for the reader, called when more data is available or none will follow.
         on_room: Callback for the writer, called when more data may be appended.
     """
@@ -36,6 +38,7 @@
         "has_failed",
         "is_closed",
         "is_discarded",
+        "max_buffers",
         "on_data",
         "on_room",
         "pool",
@@ -49,6 +52,7 @@
         self.start = self.end = 0
         self.is_closed = self.has_failed = self.is_discarded = False
         self.has_been_consumed = False
+        self.max_buffers = MAX_PIPE_BUFFERS
         self.on_data: Callable[[], None] | None = None
         self.on_room: Callable[[], None] | None = None
 
@@ -58,7 +62,7 @@
         This is always true for a discarded pipe, because its data is dropped.
         """
         return self.is_discarded or (
-            len(self.buffers) < MAX_PIPE_BUFFERS and self.pool.lent < self.pool.max_lent
+            len(self.buffers) < self.max_buffers and self.pool.lent < self.pool.max_lent
         )
 
     def is_full(self) -> bool:
@@ -66,7 +70,12 @@
 
         Unlike `has_room`, this does not depend on whether the pool has buffers left.
         """
-        return len(self.buffers) >= MAX_PIPE_BUFFERS
+        return len(self.buffers) >= self.max_buffers
+
+    def widen(self) -> None:
+        """Lets the writer append up to `WIDE_PIPE_BUFFERS`, as far as the pool has them."""
+        self.max_buffers = WIDE_PIPE_BUFFERS
+        self._wake_writer()
 
     def append(self, data: memoryview) -> None:
         """Copies data to the end of the queue and calls `on_data`.
--- a/cressrail/network/endpoint_connection.py
+++ b/cressrail/network/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cressrail.buffers.pipe import StreamingBody
 from cressrail.event_loop.scheduler import MESSAGE, READABLE
 from cressrail.network.attempt_exchange import AttemptEnd, AttemptExchange
 from cressrail.network.dispatcher import CommandDispatcher
@@ -17,6 +18,8 @@
 from cressrail.proxy.attempts import AttemptResult
 from cressrail.proxy.commands import CancelAttempt, SendAttempt
 
+HOLD_BACK_US = 100_000  # how long an upload is held back for a sign of its client
+HOLD_BACK_STEP_US = 2_000
 IDLE_TIMEOUT_SHARE = 0.6  # idle connections are closed after this share of the endpoint's idle time-out
 
 
@@ -105,6 +108,7 @@
     def _attempt(self, command: SendAttempt, exchange: AttemptExchange) -> AttemptEnd:
         try:
             stream = self._open(command)
+            self._hold_back_upload(command)
         except StreamInterruptedError:
             return AttemptEnd(Outcome.CANCELLED)
         except (StreamTimeoutError, OSError) as error:
@@ -173,6 +177,31 @@
             )
         return None
 
+    def _hold_back_upload(self, command: SendAttempt) -> None:
+        """Waits for a moment where the client of an upload may have left unseen.
+
+        Its task reads on meanwhile, so that less is unread that may hide its close.
+
+        Raises:
+            StreamInterruptedError: The attempt was cancelled.
+        """
+        if not command.request.is_streaming:
+            return
+        dispatcher, body = self.dispatcher, command.request.body
+        until_us = dispatcher.now() + HOLD_BACK_US
+        while dispatcher.now() < until_us and self._is_client_hidden(command):
+            if isinstance(body, StreamingBody) and body.pipe is not None:
+                body.pipe.widen()
+            retry_us = min(until_us, dispatcher.now() + HOLD_BACK_STEP_US)
+            if dispatcher.scheduler.wait(until_us=retry_us) == MESSAGE:
+                raise StreamInterruptedError
+
+    def _is_client_hidden(self, command: SendAttempt) -> bool:
+        dispatcher = self.dispatcher
+        client = dispatcher.state_machine.waiting_client(command.attempt)
+        is_unknown = bool(client) and dispatcher.client_presence(client) is PeerPresence.UNKNOWN
+        return is_unknown and self._may_have_left(command, client, dispatcher.now())
+
     def _may_have_left(self, command: SendAttempt, client: int, now_us: int) -> bool:
         """Returns whether a client whose close may wait behind unread input may be gone for too long.
 
--- a/tests/network/test_request_upload.py
+++ b/tests/network/test_request_upload.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cressrail.buffers.pipe import KEPT_BODY_BYTES
-from cressrail.network import request_upload
+from cressrail.network import request_upload, socket_stream
 from cressrail.network.socket_stream import SocketStream
 from tests.network.support import ConnectGate, RecordingEndpoint
 from tests.support.http_messages import DECLINED_HEADER, chunk_bytes, request_bytes, response_bytes
@@ -389,3 +389,24 @@
     harness.run()
     assert not endpoint.heads
     assert all(len(request.body) < len(body) for request in received)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+def test_upload_of_client_that_stays_is_sent_although_the_process_was_held_up(
+    is_chunked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against uploads rejected because they were read late, with their rest unread."""
+    monkeypatch.setattr(socket_stream, "HIDDEN_CLOSE_US", 0)  # whatever was seen of a client is too long ago
+    received: list[ReceivedRequest] = []
+    harness = SidecarHarness([receive_requests(received, response_bytes(b"hello"))])
+    body = LARGE_BODY[: KEPT_BODY_BYTES * 2 + 7]
+    responses: list[ReceivedResponse] = []
+
+    def client(peer: ScriptedPeer) -> None:
+        send_upload(peer, body, is_chunked)
+        responses.append(read_response(peer))
+
+    harness.add_client(client)
+    harness.run()
+    assert responses == [HELLO]
+    assert [request.body for request in received] == [body]
